--- /dev/null
+++ b/cmd/almondctl/main.go
@@ -0,0 +1,4 @@
+// Command almondctl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/metrics/metrics.go
@@ -0,0 +1,77 @@
+// Package metrics names every metric in one place and makes the tally scope that serves them.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// Names of metrics. Units are part of the name.
+const (
+	Requests            = "requests_total"
+	Refusals            = "refusals_total"
+	RequestSeconds      = "request_seconds"
+	TargetSeconds       = "target_seconds"
+	QueueSeconds        = "queue_seconds"
+	QueueLength         = "queue_length"
+	InFlight            = "in_flight"
+	Retries             = "retries_total"
+	Hedges              = "hedges_total"
+	LinkBytes           = "link_bytes_total"
+	ShardsOwned         = "shards_owned"
+	ShardMoves          = "shard_moves_total"
+	ShardsWithoutOwner  = "shards_without_owner"
+	UnavailableSeconds  = "unavailable_seconds_total"
+	ImbalanceRatio      = "imbalance_ratio"
+	ConfigRevision      = "config_revision"
+	GroupGeneration     = "group_generation"
+	GroupLeader         = "group_leader"
+	LeaseRenewals       = "lease_renewals_total"
+	LeaseLosses         = "lease_losses_total"
+	Targets             = "targets"
+	IdempotencyRecords  = "idempotency_records"
+	DiscardedAnswers    = "discarded_answers_total"
+	ConnectionsToTarget = "target_connections"
+)
+
+// Tag names.
+const (
+	TagService    = "service"
+	TagTarget     = "target"
+	TagCode       = "code"
+	TagDataCentre = "data_centre"
+	TagClass      = "class"
+	TagDirection  = "direction"
+	TagResult     = "result"
+)
+
+// reportInterval is how often tally pushes values to the reporter.
+const reportInterval = time.Second
+
+// Registry is a scope together with the handler that serves its values in the Prometheus text format.
+type Registry struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// New returns a registry whose metrics are prefixed with almondrock_ and tagged with host and data centre.
+func New(host, dataCentre string) *Registry {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "almondrock",
+		Tags:           map[string]string{"host": host, TagDataCentre: dataCentre},
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	return &Registry{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close reports the last values and stops the scope.
+func (r *Registry) Close() error {
+	return r.closer.Close()
+}
