--- /dev/null
+++ b/pkg/config/check.go
@@ -0,0 +1,242 @@
+package config
+
+import (
+	"fmt"
+	"math/bits"
+	"regexp"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"almondrock.example/almondrock/pkg/internal/nearest"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// checker looks for mistakes that one field alone doesn't show.
+type checker struct {
+	configuration *schemav1.Configuration
+	places        positions
+	problems      *report
+	regions       map[string]bool
+}
+
+// check reports all mistakes of a merged configuration. places may be empty; then problems carry the path only.
+func check(configuration *schemav1.Configuration, places positions, problems *report) {
+	c := &checker{configuration: configuration, places: places, problems: problems, regions: map[string]bool{}}
+	for _, region := range configuration.GetRegions() {
+		c.regions[region.GetName()] = true
+	}
+	c.checkRegions()
+	c.checkDataCentres()
+	c.checkTenants()
+	c.checkClasses()
+	c.checkServices()
+	c.checkAllow()
+	c.checkCommonRegions()
+	c.siteFields(configuration.GetLimits(), "limits", nil)
+}
+
+func (c *checker) add(path, rule, suggestion, format string, args ...any) {
+	c.problems.add(c.places.near(path), rule, suggestion, format, args...)
+}
+
+// isSet tells whether the file has the field, even with a wrong value that was reported already.
+func (c *checker) isSet(path string) bool {
+	_, ok := c.places[path]
+	return ok
+}
+
+func (c *checker) required(isEmpty bool, path, suggestion string) {
+	if isEmpty && !c.isSet(path) {
+		c.add(path, RuleMissing, suggestion, "%s is missing", path)
+	}
+}
+
+// requiredList also refuses an empty list that the file states.
+func (c *checker) requiredList(length int, path, suggestion string) {
+	if length == 0 {
+		c.required(true, path, suggestion)
+		if c.isSet(path) && !c.problems.hasAt(c.places[path].line, c.places[path].order) {
+			c.add(path, RuleMissing, suggestion, "%s is empty", path)
+		}
+	}
+}
+
+// names are used in paths, addresses of keyspaces, flags and file names. A "+" or "/" would make keyspaces ambiguous.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// names checks the name fields of a list.
+func (c *checker) names(list string, names []string) {
+	first := map[string]int{}
+	for i, name := range names {
+		path := fmt.Sprintf("%s[%d].name", list, i)
+		c.required(name == "", path, "write name: NAME")
+		if name == "" {
+			c.emptyName(path)
+			continue
+		}
+		if !namePattern.MatchString(name) {
+			c.add(path, RuleBadName, "use 1 to 63 of a-z, 0-9 and -, not - at the ends", "%s can't be %s", path, quote(name))
+		}
+		if earlier, twice := first[name]; twice {
+			c.duplicate(path, fmt.Sprintf("%s[%d].name", list, earlier), name)
+			continue
+		}
+		first[name] = i
+	}
+}
+
+func (c *checker) emptyName(path string) {
+	if c.isSet(path) && !c.problems.hasAt(c.places[path].line, c.places[path].order) {
+		c.add(path, RuleBadName, "use 1 to 63 of a-z, 0-9 and -, not - at the ends", "%s can't be empty", path)
+	}
+}
+
+func (c *checker) duplicate(path, firstPath, name string) {
+	c.add(path, RuleDuplicateName, "use another name or remove one of them",
+		"%s repeats %s of line %d", path, quote(name), c.places.near(firstPath).line)
+}
+
+func (c *checker) checkRegions() {
+	c.requiredList(len(c.configuration.GetRegions()), "regions", "list at least one region")
+	names := make([]string, len(c.configuration.GetRegions()))
+	for i, region := range c.configuration.GetRegions() {
+		names[i] = region.GetName()
+	}
+	c.names("regions", names)
+}
+
+func (c *checker) checkDataCentres() {
+	c.requiredList(len(c.configuration.GetDataCentres()), "data_centres", "list at least one data centre")
+	c.names("data_centres", dataCentreNames(c.configuration))
+	used := map[string]bool{}
+	for i, site := range c.configuration.GetDataCentres() {
+		path := fmt.Sprintf("data_centres[%d]", i)
+		c.required(site.GetRegion() == "", path+".region", "write region: NAME")
+		if c.isSet(path+".region") || site.GetRegion() != "" {
+			c.region(site.GetRegion(), path+".region")
+		}
+		used[site.GetRegion()] = true
+		c.siteFields(site.GetLimits(), path+".limits", siteLimits)
+	}
+	for i, region := range c.configuration.GetRegions() {
+		if region.GetName() != "" && !used[region.GetName()] {
+			c.add(fmt.Sprintf("regions[%d].name", i), RuleEmptyRegion, "add a data centre to the region or remove the region",
+				"region %s has no data centre", quote(region.GetName()))
+		}
+	}
+}
+
+func (c *checker) region(name, path string) {
+	if name == "" && c.problems.hasAt(c.places.near(path).line, c.places.near(path).order) {
+		return
+	}
+	if !c.regions[name] {
+		known := make([]string, 0, len(c.configuration.GetRegions()))
+		for _, region := range c.configuration.GetRegions() {
+			known = append(known, region.GetName())
+		}
+		c.add(path, RuleUnknownRegion, suggestName(name, known), "%s names the unknown region %s", path, quote(name))
+	}
+}
+
+func (c *checker) homeRegions(names []string, path string) {
+	seen := map[string]bool{}
+	for i, name := range names {
+		item := fmt.Sprintf("%s[%d]", path, i)
+		c.region(name, item)
+		if seen[name] {
+			c.add(item, RuleDuplicateName, "remove it", "%s repeats %s", item, quote(name))
+		}
+		seen[name] = true
+	}
+	if len(names) == 0 && c.isSet(path) && !c.problems.hasAt(c.places[path].line, c.places[path].order) {
+		c.add(path, RuleMissing, "leave the field out to allow all regions", "%s is empty", path)
+	}
+}
+
+func (c *checker) checkTenants() {
+	names := make([]string, len(c.configuration.GetTenants()))
+	for i, tenant := range c.configuration.GetTenants() {
+		names[i] = tenant.GetName()
+		c.homeRegions(tenant.GetHomeRegions(), fmt.Sprintf("tenants[%d].home_regions", i))
+	}
+	c.names("tenants", names)
+}
+
+func (c *checker) checkClasses() {
+	first := map[schemav1.RequestClass]int{}
+	for i, class := range c.configuration.GetClasses() {
+		path := fmt.Sprintf("classes[%d].name", i)
+		name := class.GetName()
+		c.required(name == schemav1.RequestClass_REQUEST_CLASS_UNSPECIFIED, path, "write name: interactive, booking or file")
+		if earlier, twice := first[name]; twice && name != schemav1.RequestClass_REQUEST_CLASS_UNSPECIFIED {
+			c.duplicate(path, fmt.Sprintf("classes[%d].name", earlier), ClassName(name))
+			continue
+		}
+		first[name] = i
+	}
+}
+
+// ClassName is the word for a class in the files.
+func ClassName(class schemav1.RequestClass) string {
+	words := enumWords(class.Descriptor())
+	if class < 1 || int(class) > len(words) {
+		return ""
+	}
+	return words[class-1]
+}
+
+func (c *checker) checkAllow() {
+	for i, name := range c.configuration.GetAllow() {
+		path := fmt.Sprintf("allow[%d]", i)
+		if _, known := allowable[Danger(name)]; !known {
+			c.add(path, RuleUnknownAllow, suggestName(name, allowNames()), "%s is not a danger that can be allowed", quote(name))
+		}
+	}
+}
+
+// siteFields refuses limits that have no effect where they stand. A nil set allows all.
+func (c *checker) siteFields(limits *schemav1.Limits, path string, allowed map[protoreflect.Name]bool) {
+	if limits == nil || allowed == nil {
+		return
+	}
+	fields := limits.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		name := fields.Get(i).Name()
+		field := path + "." + string(name)
+		if allowed[name] || (!c.isSet(field) && !limits.ProtoReflect().Has(fields.Get(i))) {
+			continue
+		}
+		rule, where := RuleMisplacedField, "here"
+		if at := c.places.near(field); at.order > 0 {
+			rule, where = RuleNotInOverlay, "by a site"
+		}
+		c.add(field, rule, "set it in limits of the base file", "%s can't be set %s", name, where)
+	}
+}
+
+func isPowerOfTwo(n uint32) bool { return bits.OnesCount32(n) == 1 }
+
+func dataCentreNames(configuration *schemav1.Configuration) []string {
+	names := make([]string, len(configuration.GetDataCentres()))
+	for i, site := range configuration.GetDataCentres() {
+		names[i] = site.GetName()
+	}
+	return names
+}
+
+// suggestName proposes the nearest of the known names, or lists them when none is near.
+func suggestName(name string, known []string) string {
+	if near := nearest.Name(name, known); near != "" {
+		return "did you mean " + near + "?"
+	}
+	const most = 8
+	if len(known) == 0 {
+		return ""
+	}
+	if len(known) > most {
+		return fmt.Sprintf("there are %d, among them %s", len(known), strings.Join(known[:most], ", "))
+	}
+	return "known are " + strings.Join(known, ", ")
+}
--- /dev/null
+++ b/pkg/config/check_services.go
@@ -0,0 +1,167 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// serviceLimits are the limits that depend on the service. The others belong to a host or a data centre.
+var serviceLimits = map[protoreflect.Name]bool{"max_body_bytes": true, "deadline_ms": true, "max_queue": true}
+
+func (c *checker) checkServices() {
+	services := c.configuration.GetServices()
+	c.requiredList(len(services), "services", "list at least one service")
+	names := make([]string, len(services))
+	for i, service := range services {
+		names[i] = service.GetName()
+		c.checkService(service, fmt.Sprintf("services[%d]", i))
+	}
+	c.names("services", names)
+}
+
+func (c *checker) checkService(service *schemav1.Service, path string) {
+	c.required(service.GetKind() == schemav1.ServiceKind_SERVICE_KIND_UNSPECIFIED, path+".kind", "write kind: exclusive or kind: shared")
+	if shards := service.GetShards(); shards != 0 && !isPowerOfTwo(shards) {
+		c.add(path+".shards", RulePowerOfTwo, fmt.Sprintf("write shards: %d", nextPowerOfTwo(shards)),
+			"%s.shards must be a power of two, not %d", path, shards)
+	}
+	if service.GetOnPartition() == schemav1.PartitionPolicy_PARTITION_POLICY_MOVE {
+		c.add(path+".on_partition", RuleUnsupported, "write on_partition: hold",
+			"%s.on_partition: move is not supported in this release", path)
+	}
+	c.homeRegions(service.GetHomeRegions(), path+".home_regions")
+	c.siteFields(service.GetLimits(), path+".limits", serviceLimits)
+	c.requiredList(len(service.GetRoutes()), path+".routes", "list at least one route, such as path_prefix: /")
+	c.checkRoutes(service, path)
+}
+
+func nextPowerOfTwo(n uint32) uint32 {
+	power := uint32(1)
+	for power < n && power < maxShards {
+		power *= 2
+	}
+	return power
+}
+
+func (c *checker) checkRoutes(service *schemav1.Service, path string) {
+	first := map[string]int{}
+	for i, route := range service.GetRoutes() {
+		routePath := fmt.Sprintf("%s.routes[%d]", path, i)
+		c.checkRoute(service, route, routePath)
+		prefix := cleanPrefix(route.GetPathPrefix())
+		if earlier, twice := first[prefix]; twice && route.GetPathPrefix() != "" {
+			c.duplicate(routePath+".path_prefix", fmt.Sprintf("%s.routes[%d].path_prefix", path, earlier), route.GetPathPrefix())
+			continue
+		}
+		first[prefix] = i
+	}
+}
+
+func (c *checker) checkRoute(service *schemav1.Service, route *schemav1.Route, path string) {
+	prefix := route.GetPathPrefix()
+	c.required(prefix == "", path+".path_prefix", "write path_prefix: /PATH")
+	if reason := pathFault(prefix); reason != "" && (prefix != "" || c.isSet(path+".path_prefix")) {
+		if !c.problems.hasAt(c.places.near(path+".path_prefix").line, c.places.near(path+".path_prefix").order) || prefix != "" {
+			c.add(path+".path_prefix", RuleBadPath, "write a path such as /bookings", "%s.path_prefix %s %s", path, quote(prefix), reason)
+		}
+	}
+	c.required(route.GetClass() == schemav1.RequestClass_REQUEST_CLASS_UNSPECIFIED, path+".class",
+		"write class: interactive, booking or file")
+	c.homeRegions(route.GetHomeRegions(), path+".home_regions")
+	c.methods(route.GetIdempotentMethods(), path+".idempotent_methods")
+	exclusive := service.GetKind() == schemav1.ServiceKind_SERVICE_KIND_EXCLUSIVE
+	if exclusive && len(route.GetHomeRegions()) > 0 && !route.GetSeparateKeys() {
+		c.add(path+".home_regions", RuleSeparateKeys, "write separate_keys: true if keys under this route differ from all others, or remove home_regions",
+			"%s.home_regions needs separate_keys: true in an exclusive service, or one key has two owners", path)
+	}
+}
+
+// methods refuses names that can't be HTTP methods, those that are idempotent or refused already, and repeats.
+func (c *checker) methods(methods []string, path string) {
+	for i, method := range methods {
+		item := fmt.Sprintf("%s[%d]", path, i)
+		switch {
+		case !isMethodToken(method) || strings.ToUpper(method) != method:
+			c.add(item, RuleBadMethod, "write the method in upper case, such as POST", "%s can't be %s", item, quote(method))
+		case isRefusedMethod(method):
+			c.add(item, RuleBadMethod, "remove it", "%s is refused by every service", method)
+		case isIdempotentMethod(method):
+			c.add(item, RuleBadMethod, "remove it", "%s is idempotent by RFC 9110 already", method)
+		case slices.Contains(methods[:i], method):
+			c.add(item, RuleDuplicateName, "remove it", "%s repeats %s", item, quote(method))
+		}
+	}
+}
+
+// checkCommonRegions reports each place whose home regions leave no region for some request.
+func (c *checker) checkCommonRegions() {
+	for i, service := range c.configuration.GetServices() {
+		path := fmt.Sprintf("services[%d]", i)
+		for j, route := range service.GetRoutes() {
+			routePath := fmt.Sprintf("%s.routes[%d].home_regions", path, j)
+			if _, ok := intersect(c.known(service.GetHomeRegions()), c.known(route.GetHomeRegions())); !ok {
+				c.add(routePath, RuleNoCommonRegion, "name a region of the service's home_regions",
+					"%s has no region in common with service %s", routePath, quote(service.GetName()))
+			}
+		}
+		for j, tenant := range c.configuration.GetTenants() {
+			c.checkTenantRegions(service, tenant, fmt.Sprintf("tenants[%d].home_regions", j))
+		}
+	}
+}
+
+func (c *checker) checkTenantRegions(service *schemav1.Service, tenant *schemav1.Tenant, path string) {
+	own := c.known(tenant.GetHomeRegions())
+	common, ok := intersect(c.known(service.GetHomeRegions()), own)
+	if !ok {
+		c.add(path, RuleNoCommonRegion, "name a region of the service's home_regions",
+			"%s has no region in common with service %s", path, quote(service.GetName()))
+		return
+	}
+	for _, route := range service.GetRoutes() {
+		_, withService := intersect(c.known(service.GetHomeRegions()), c.known(route.GetHomeRegions()))
+		if _, ok := intersect(common, c.known(route.GetHomeRegions())); !ok && withService {
+			c.add(path, RuleNoCommonRegion, "name a region of the route's home_regions",
+				"%s has no region in common with route %s of service %s", path, quote(route.GetPathPrefix()), quote(service.GetName()))
+		}
+	}
+}
+
+// known leaves out unknown regions, which have their own problem. All unknown gives no restriction.
+func (c *checker) known(names []string) []string {
+	var known []string
+	for _, name := range names {
+		if c.regions[name] {
+			known = append(known, name)
+		}
+	}
+	return known
+}
+
+// intersect returns the sorted regions in both sets; an empty set stands for all regions. It is false when both sets
+// restrict and have nothing in common.
+func intersect(a, b []string) ([]string, bool) {
+	var common []string
+	switch {
+	case len(a) == 0:
+		common = slices.Clone(b)
+	case len(b) == 0:
+		common = slices.Clone(a)
+	default:
+		for _, name := range a {
+			if slices.Contains(b, name) {
+				common = append(common, name)
+			}
+		}
+		if len(common) == 0 {
+			return nil, false
+		}
+	}
+	slices.Sort(common)
+	return slices.Compact(common), true
+}
--- /dev/null
+++ b/pkg/config/decode.go
@@ -0,0 +1,261 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"almondrock.example/almondrock/pkg/internal/nearest"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// decoder fills messages from the tree of one file and records where each field stands.
+type decoder struct {
+	start    position
+	places   positions
+	problems *report
+}
+
+// decode fills message from file. Fields that are wrong stay at their zero value.
+func decode(file SourceFile, order int, message proto.Message, problems *report) positions {
+	d := &decoder{
+		start:  position{file: file.Name, order: order, line: 1, column: 1},
+		places: positions{}, problems: problems,
+	}
+	d.places[""] = d.start
+	if root := parse(file, order, problems); root != nil {
+		d.message(root, message.ProtoReflect(), "")
+	}
+	return d.places
+}
+
+func (d *decoder) at(node ast.Node) position {
+	if mapping, ok := node.(*ast.MappingNode); ok && len(mapping.Values) > 0 {
+		node = mapping.Values[0].Key
+	}
+	return d.start.of(node.GetToken())
+}
+
+// message fills target from a mapping; path is the target's path, empty for the root.
+func (d *decoder) message(node ast.Node, target protoreflect.Message, path string) {
+	mapping, ok := entries(node)
+	if !ok {
+		d.wrongType(node, path, "a mapping of fields")
+		return
+	}
+	seen := map[string]int{}
+	for _, entry := range mapping {
+		name, ok := d.fieldName(entry.Key)
+		if !ok {
+			continue
+		}
+		at := d.at(entry.Key)
+		if line, twice := seen[name]; twice {
+			d.problems.add(at, RuleDuplicateField, "keep one of them", "%s is set twice; the first is on line %d", name, line)
+			continue
+		}
+		seen[name] = at.line
+		d.field(entry, name, target, path)
+	}
+}
+
+func (d *decoder) field(entry *ast.MappingValueNode, name string, target protoreflect.Message, path string) {
+	at := d.at(entry.Key)
+	field := target.Descriptor().Fields().ByName(protoreflect.Name(name))
+	if field == nil || field.FullName() == revisionField {
+		d.unknownField(at, name, entry.Value, target.Descriptor())
+		return
+	}
+	fieldPath := join(path, name)
+	d.places[fieldPath] = at
+	if field.IsList() {
+		d.list(entry.Value, field, target.Mutable(field).List(), fieldPath)
+		return
+	}
+	if field.Kind() == protoreflect.MessageKind {
+		d.message(unwrap(entry.Value), target.Mutable(field).Message(), fieldPath)
+		return
+	}
+	if value, ok := d.scalar(unwrap(entry.Value), field, fieldPath); ok {
+		target.Set(field, value)
+	}
+}
+
+func (d *decoder) list(node ast.Node, field protoreflect.FieldDescriptor, list protoreflect.List, path string) {
+	sequence, ok := unwrap(node).(*ast.SequenceNode)
+	if !ok {
+		d.wrongType(node, path, "a list")
+		return
+	}
+	for _, item := range sequence.Values {
+		itemPath := path + "[" + strconv.Itoa(list.Len()) + "]"
+		d.places[itemPath] = d.at(unwrap(item))
+		if field.Kind() == protoreflect.MessageKind {
+			element := list.NewElement()
+			d.message(unwrap(item), element.Message(), itemPath)
+			list.Append(element)
+			continue
+		}
+		if value, ok := d.scalar(unwrap(item), field, itemPath); ok {
+			list.Append(value)
+		}
+	}
+}
+
+// fieldName returns the key as text. Merge keys are reported by scanTokens.
+func (d *decoder) fieldName(key ast.MapKeyNode) (string, bool) {
+	switch key := key.(type) {
+	case *ast.StringNode:
+		return key.Value, true
+	case *ast.MergeKeyNode:
+		return "", false
+	default:
+		d.problems.add(d.at(key), RuleUnknownField, "write a field name of the schema", "%s is not a field name", quote(key.GetToken().Value))
+		return "", false
+	}
+}
+
+// revisionField is part of the schema, but the control group sets it.
+const revisionField = protoreflect.FullName("almondrock.v1.Configuration.revision")
+
+func (d *decoder) unknownField(at position, name string, value ast.Node, message protoreflect.MessageDescriptor) {
+	if message.FullName()+"."+protoreflect.FullName(name) == revisionField {
+		d.problems.add(at, RuleMisplacedField, "remove the field", "revision is set by the control group")
+		return
+	}
+	overlay := (&schemav1.Overlay{}).ProtoReflect().Descriptor()
+	if message == overlay && knownElsewhere(name) {
+		d.problems.add(at, RuleNotInOverlay, "set it in the base file", "%s can't be set by a site", name)
+		return
+	}
+	if field, ok := stemOfUnit(name, message); ok {
+		d.reportUnitStem(at, name, field, value)
+		return
+	}
+	suggestion := "the fields are " + strings.Join(fieldNames(message), ", ")
+	if near := nearest.Name(name, fieldNames(message)); near != "" {
+		suggestion = "did you mean " + near + "?"
+	}
+	d.problems.add(at, RuleUnknownField, suggestion, "%s is not a field of %s", quote(name), label(message))
+}
+
+// knownElsewhere tells whether name is a field of the base file or of a data centre in it.
+func knownElsewhere(name string) bool {
+	base := (&schemav1.Configuration{}).ProtoReflect().Descriptor().Fields()
+	site := (&schemav1.DataCentre{}).ProtoReflect().Descriptor().Fields()
+	return base.ByName(protoreflect.Name(name)) != nil || site.ByName(protoreflect.Name(name)) != nil
+}
+
+func fieldNames(message protoreflect.MessageDescriptor) []string {
+	var names []string
+	for i := range message.Fields().Len() {
+		if field := message.Fields().Get(i); field.FullName() != revisionField {
+			names = append(names, string(field.Name()))
+		}
+	}
+	return names
+}
+
+// label names the part of a file that a message stands for.
+func label(message protoreflect.MessageDescriptor) string {
+	switch message.Name() {
+	case "Configuration":
+		return "the base file"
+	case "Overlay":
+		return "an overlay"
+	case "DataCentre":
+		return "a data centre"
+	case "ClassLimits":
+		return "a class"
+	case "Limits":
+		return "limits"
+	default:
+		return "a " + strings.ToLower(string(message.Name()))
+	}
+}
+
+func (d *decoder) wrongType(node ast.Node, path, want string) {
+	if isReported(node) {
+		return
+	}
+	subject := path
+	if subject == "" {
+		subject = "the file"
+	}
+	d.problems.add(d.at(node), RuleWrongType, "write "+want, "%s must be %s, not %s", subject, want, describe(node))
+}
+
+// entries returns the pairs of a mapping. The parser gives a single pair without the enclosing mapping in some places.
+func entries(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch node := unwrap(node).(type) {
+	case *ast.MappingNode:
+		return node.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{node}, true
+	default:
+		return nil, false
+	}
+}
+
+// unwrap returns the value inside anchors and tags, which scanTokens reports.
+func unwrap(node ast.Node) ast.Node {
+	for range maxDepth {
+		switch inner := node.(type) {
+		case *ast.AnchorNode:
+			node = inner.Value
+		case *ast.TagNode:
+			node = inner.Value
+		default:
+			return node
+		}
+	}
+	return node
+}
+
+// isReported tells whether scanTokens has reported the node already.
+func isReported(node ast.Node) bool {
+	return node == nil || node.Type() == ast.AliasType || node.Type() == ast.MergeKeyType
+}
+
+func describe(node ast.Node) string {
+	switch node := unwrap(node).(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.NullNode:
+		return "empty"
+	case *ast.BoolNode:
+		return node.Token.Value
+	case *ast.IntegerNode, *ast.FloatNode:
+		return "the number " + shorten(node.GetToken().Value)
+	case *ast.StringNode:
+		return "the text " + quote(node.Value)
+	case *ast.LiteralNode:
+		return "a block of text"
+	default:
+		return "this value"
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// shorten bounds how much of a file's text a message repeats.
+func shorten(text string) string {
+	const limit = 60
+	if len(text) > limit {
+		return strings.ToValidUTF8(text[:limit], "") + "..."
+	}
+	return text
+}
+
+func quote(text string) string { return fmt.Sprintf("%q", shorten(text)) }
--- /dev/null
+++ b/pkg/config/scalar.go
@@ -0,0 +1,99 @@
+package config
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"almondrock.example/almondrock/pkg/internal/nearest"
+)
+
+// scalar converts node to a value of field's type, or reports why it can't.
+func (d *decoder) scalar(node ast.Node, field protoreflect.FieldDescriptor, path string) (protoreflect.Value, bool) {
+	if node == nil || isReported(node) {
+		return protoreflect.Value{}, false
+	}
+	switch field.Kind() {
+	case protoreflect.StringKind:
+		if text, ok := node.(*ast.StringNode); ok {
+			return protoreflect.ValueOfString(text.Value), true
+		}
+		d.wrongType(node, path, "text")
+	case protoreflect.BoolKind:
+		if value, ok := node.(*ast.BoolNode); ok {
+			return protoreflect.ValueOfBool(value.Value), true
+		}
+		d.wrongType(node, path, "true or false")
+	case protoreflect.EnumKind:
+		return d.enum(node, field.Enum(), path)
+	default:
+		return d.number(node, field, path)
+	}
+	return protoreflect.Value{}, false
+}
+
+// enum accepts the value's name without its prefix, in lower case.
+func (d *decoder) enum(node ast.Node, enum protoreflect.EnumDescriptor, path string) (protoreflect.Value, bool) {
+	words := enumWords(enum)
+	text, ok := node.(*ast.StringNode)
+	if !ok {
+		d.wrongType(node, path, "one of "+strings.Join(words, ", "))
+		return protoreflect.Value{}, false
+	}
+	for number, word := range words {
+		if word == text.Value {
+			return protoreflect.ValueOfEnum(protoreflect.EnumNumber(number + 1)), true //nolint:gosec // enums are small
+		}
+	}
+	suggestion := "write one of " + strings.Join(words, ", ")
+	if near := nearest.Name(strings.ToLower(text.Value), words); near != "" {
+		suggestion = "did you mean " + near + "?"
+	}
+	d.problems.add(d.at(node), RuleUnknownValue, suggestion, "%s can't be %s", path, quote(text.Value))
+	return protoreflect.Value{}, false
+}
+
+// enumWords are the words of the values 1, 2, ...; the value 0 stands for an absent field.
+func enumWords(enum protoreflect.EnumDescriptor) []string {
+	zero := string(enum.Values().ByNumber(0).Name())
+	prefix := strings.TrimSuffix(zero, "UNSPECIFIED")
+	words := make([]string, 0, enum.Values().Len()-1)
+	for number := 1; number < enum.Values().Len(); number++ {
+		name := string(enum.Values().ByNumber(protoreflect.EnumNumber(number)).Name()) //nolint:gosec // enums are small
+		words = append(words, strings.ToLower(strings.TrimPrefix(name, prefix)))
+	}
+	return words
+}
+
+var decimal = regexp.MustCompile(`^[0-9]+$`)
+
+func (d *decoder) number(node ast.Node, field protoreflect.FieldDescriptor, path string) (protoreflect.Value, bool) {
+	none := protoreflect.Value{}
+	if text, ok := node.(*ast.StringNode); ok && text.Token.Type == token.StringType {
+		if value, ok := inUnit(text.Value, field); ok {
+			d.problems.add(d.at(node), RuleWrongUnit, "write "+string(field.Name())+": "+strconv.FormatUint(value, 10),
+				"%s is a number of %s, not %s", path, unitOf(field), quote(text.Value))
+			return none, false
+		}
+	}
+	integer, ok := node.(*ast.IntegerNode)
+	digits := node.GetToken().Value
+	if !ok || !decimal.MatchString(strings.TrimPrefix(digits, "-")) {
+		d.wrongType(node, path, "a whole number")
+		return none, false
+	}
+	bounds := boundsOf(field)
+	value, err := strconv.ParseUint(integer.Token.Value, 10, 64)
+	if err != nil || value < bounds.low || value > bounds.high {
+		d.problems.add(d.at(node), RuleOutOfRange, bounds.suggestion(), "%s can't be %s", path, shorten(digits))
+		return none, false
+	}
+	if field.Kind() == protoreflect.Uint32Kind {
+		return protoreflect.ValueOfUint32(uint32(value)), true //nolint:gosec // bounds of 32-bit fields fit
+	}
+	return protoreflect.ValueOfUint64(value), true
+}
--- /dev/null
+++ b/pkg/config/source.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"errors"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+const (
+	// maxFileBytes bounds the memory that a submission takes; a base file with 1,000 services has about 300 KiB.
+	maxFileBytes = 1 << 20
+	// maxDepth bounds the recursion of the parser. The schema itself needs 7 levels.
+	maxDepth = 20
+)
+
+// SourceFile is one of the operators' files.
+type SourceFile struct {
+	// Name is shown in problems; it is not opened.
+	Name string
+	// Content is the YAML text.
+	Content []byte
+}
+
+// SourceFiles converts the files of a submission.
+func SourceFiles(submission *schemav1.Submission) (base SourceFile, overlays []SourceFile) {
+	for _, file := range submission.GetOverlays() {
+		overlays = append(overlays, SourceFile{Name: file.GetName(), Content: file.GetContent()})
+	}
+	return SourceFile{Name: submission.GetBase().GetName(), Content: submission.GetBase().GetContent()}, overlays
+}
+
+// parse returns the root of the file's only document, or nil when the file is refused or empty.
+func parse(file SourceFile, order int, problems *report) ast.Node {
+	start := position{file: file.Name, order: order, line: 1, column: 1}
+	if len(file.Content) > maxFileBytes {
+		problems.add(start, RuleFileSize, "split the file", "the file has %d bytes; the limit is %d", len(file.Content), maxFileBytes)
+		return nil
+	}
+	if !utf8.Valid(file.Content) {
+		problems.add(start, RuleSyntax, "save the file as UTF-8", "the file is not UTF-8 text")
+		return nil
+	}
+	defer func() {
+		// The parser is third-party code that reads text from outside; a panic in it refuses the file.
+		if recover() != nil {
+			problems.add(start, RuleSyntax, "check the YAML syntax", "the file can't be parsed as YAML")
+		}
+	}()
+	text := strings.ReplaceAll(string(file.Content), "\r\n", "\n")
+	tokens := lexer.Tokenize(text)
+	if !scanTokens(tokens, start, problems) {
+		return nil
+	}
+	tree, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		reportSyntax(err, start, problems)
+		return nil
+	}
+	return onlyDocument(tree, start, problems)
+}
+
+func onlyDocument(tree *ast.File, start position, problems *report) ast.Node {
+	var root ast.Node
+	for _, document := range tree.Docs {
+		if document.Body == nil || document.Body.Type() == ast.CommentType {
+			continue
+		}
+		if root != nil {
+			problems.add(start.of(document.Body.GetToken()), RuleSyntax, "keep one document per file", "the file has more than one YAML document")
+			return nil
+		}
+		root = document.Body
+	}
+	if root == nil {
+		problems.add(start, RuleMissing, "write the file's fields", "the file is empty")
+	}
+	return root
+}
+
+func reportSyntax(err error, start position, problems *report) {
+	at, message := start, "the file can't be parsed as YAML"
+	var syntax *yaml.SyntaxError
+	if errors.As(err, &syntax) {
+		at, message = start.of(syntax.Token), syntax.Message
+	}
+	problems.add(at, RuleSyntax, "check the YAML syntax", "%s", message)
+}
+
+// of returns the place of tok in the file of p.
+func (p position) of(tok *token.Token) position {
+	if tok != nil && tok.Position != nil {
+		p.line, p.column = tok.Position.Line, tok.Position.Column
+	}
+	return p
+}
+
+// nesting follows the depth of a token stream without recursion, since the parser recurses once per level.
+type nesting struct {
+	flow    int
+	run     int
+	columns []int
+}
+
+func (n *nesting) add(tok *token.Token) {
+	switch tok.Type {
+	case token.MappingStartType, token.SequenceStartType:
+		n.flow++
+	case token.MappingEndType, token.SequenceEndType:
+		n.flow = max(0, n.flow-1)
+	case token.SequenceEntryType, token.MappingKeyType, token.AnchorType, token.TagType:
+		n.run++
+	case token.MappingValueType:
+		n.run = 0
+		n.block(tok)
+	default:
+		n.run = 0
+	}
+}
+
+// block counts the columns of the keys that enclose a block mapping's value.
+func (n *nesting) block(tok *token.Token) {
+	if n.flow > 0 || tok.Prev == nil || tok.Prev.Position == nil {
+		return
+	}
+	column := tok.Prev.Position.Column
+	for len(n.columns) > 0 && n.columns[len(n.columns)-1] >= column {
+		n.columns = n.columns[:len(n.columns)-1]
+	}
+	n.columns = append(n.columns, column)
+}
+
+func (n *nesting) depth() int { return n.flow + n.run + len(n.columns) }
+
+// scanTokens reports YAML features that the files may not use. It is false when parsing could recurse too deeply.
+func scanTokens(tokens token.Tokens, start position, problems *report) bool {
+	var depth nesting
+	for _, tok := range tokens {
+		depth.add(tok)
+		if depth.depth() > maxDepth {
+			problems.add(start.of(tok), RuleNesting, "use the fields of the schema only", "the file nests deeper than %d levels", maxDepth)
+			return false
+		}
+		if feature := refusedFeature(tok.Type); feature != "" {
+			problems.add(start.of(tok), RuleYAMLFeature, "write the value out in full", "%s are not supported", feature)
+		}
+	}
+	return true
+}
+
+func refusedFeature(kind token.Type) string {
+	switch kind {
+	case token.AnchorType:
+		return "anchors"
+	case token.AliasType:
+		return "aliases"
+	case token.MergeKeyType:
+		return "merge keys"
+	case token.TagType:
+		return "tags"
+	case token.DirectiveType:
+		return "directives"
+	default:
+		return ""
+	}
+}
