--- /dev/null
+++ b/pkg/target/contract.go
@@ -0,0 +1,144 @@
+package target
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// Paths of the target contract.
+const (
+	AnnouncePath = "/v1/announce"
+	GrantPath    = "/almondrock/grant"
+	RevokePath   = "/almondrock/revoke"
+)
+
+// Headers of the target contract, in canonical form.
+const (
+	HeaderRequestID  = "Almondrock-Request-Id"
+	HeaderKey        = "Almondrock-Key"
+	HeaderTenant     = "Almondrock-Tenant"
+	HeaderShard      = "Almondrock-Shard"
+	HeaderFence      = "Almondrock-Fence"
+	HeaderDeadlineMs = "Almondrock-Deadline-Ms"
+	// HeaderDeadlineAt is the deadline in milliseconds of the target's own monotonic clock.
+	HeaderDeadlineAt = "Almondrock-Deadline-At"
+	// HeaderNotRun on an answer states that the target refused before it ran the request.
+	HeaderNotRun = "Almondrock-Not-Run"
+)
+
+// Grant names one shard, or one hot key, and the fence under which the target owns it.
+type Grant struct {
+	Keyspace string `json:"keyspace"`
+	Shard    uint32 `json:"shard"`
+	Hot      bool   `json:"hot,omitempty"`
+	// KeyHash identifies a hot key; it is text because JSON numbers lose precision above 2^53.
+	KeyHash uint64 `json:"keyHash,string"`
+	// Fence is "epoch.generation.counter".
+	Fence string `json:"fence"`
+}
+
+// GrantRequest is the body of a grant or of a renewal.
+type GrantRequest struct {
+	Host       string `json:"host"`
+	Attachment uint64 `json:"attachment"`
+	// ExpiryMs counts from the receipt of the request.
+	ExpiryMs int64 `json:"expiryMs"`
+	// ExpiresAtMs is the same expiry in the target's own clock, so that a request that is delivered late does not extend
+	// a grant beyond the host's lease; 0 when the host does not know the target's clock yet.
+	ExpiresAtMs uint64 `json:"expiresAtMs,omitempty"`
+	// All renews every grant that the target holds; Grants are added to them.
+	All    bool    `json:"all,omitempty"`
+	Grants []Grant `json:"grants,omitempty"`
+}
+
+// RevokeRequest is the body of a revocation.
+type RevokeRequest struct {
+	Host       string  `json:"host"`
+	Attachment uint64  `json:"attachment"`
+	Grants     []Grant `json:"grants"`
+}
+
+// GrantResponse answers grants and revocations.
+type GrantResponse struct {
+	// BootID shows a restart, after which the target holds no grants.
+	BootID string `json:"bootId"`
+	// ClockMs is the target's monotonic clock in milliseconds.
+	ClockMs uint64 `json:"clockMs"`
+	// Held is the number of grants in force.
+	Held int `json:"held"`
+}
+
+// FormatFence returns fence as "epoch.generation.counter".
+func FormatFence(fence *schemav1.Fence) string {
+	buffer := make([]byte, 0, 24)
+	buffer = strconv.AppendUint(buffer, fence.GetEpoch(), 10)
+	buffer = append(buffer, '.')
+	buffer = strconv.AppendUint(buffer, fence.GetGeneration(), 10)
+	buffer = append(buffer, '.')
+	return string(strconv.AppendUint(buffer, fence.GetCounter(), 10))
+}
+
+// ParseFence reads the form that FormatFence writes.
+func ParseFence(text string) (*schemav1.Fence, bool) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 3 {
+		return nil, false
+	}
+	var numbers [3]uint64
+	for i, part := range parts {
+		number, err := strconv.ParseUint(part, 10, 64)
+		if err != nil {
+			return nil, false
+		}
+		numbers[i] = number
+	}
+	return &schemav1.Fence{Epoch: numbers[0], Generation: numbers[1], Counter: numbers[2]}, true
+}
+
+// CompareFences orders fences by epoch, generation and counter. It returns -1, 0 or 1.
+func CompareFences(a, b *schemav1.Fence) int {
+	return cmp.Or(
+		cmp.Compare(a.GetEpoch(), b.GetEpoch()),
+		cmp.Compare(a.GetGeneration(), b.GetGeneration()),
+		cmp.Compare(a.GetCounter(), b.GetCounter()),
+	)
+}
+
+// FormatShard returns the value of HeaderShard: keyspace, shard and, for a hot key, its hash.
+func FormatShard(grant Grant) string {
+	if grant.Hot {
+		return fmt.Sprintf("%s:%d:%x", grant.Keyspace, grant.Shard, grant.KeyHash)
+	}
+	return grant.Keyspace + ":" + strconv.FormatUint(uint64(grant.Shard), 10)
+}
+
+// ParseShard reads the form that FormatShard writes; the result has no fence.
+func ParseShard(text string) (Grant, bool) {
+	parts := strings.Split(text, ":")
+	if len(parts) != 2 && len(parts) != 3 {
+		return Grant{}, false
+	}
+	shard, err := strconv.ParseUint(parts[1], 10, 32)
+	if err != nil {
+		return Grant{}, false
+	}
+	grant := Grant{Keyspace: parts[0], Shard: uint32(shard)}
+	if len(parts) == 3 {
+		grant.Hot = true
+		if grant.KeyHash, err = strconv.ParseUint(parts[2], 16, 64); err != nil {
+			return Grant{}, false
+		}
+	}
+	return grant, true
+}
+
+// IsSafe reports whether method changes nothing at the target (RFC 9110 section 9.2.1).
+func IsSafe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions ||
+		method == http.MethodTrace
+}
