--- a/pkg/control/state_test.go
+++ b/pkg/control/state_test.go
@@ -54,9 +54,12 @@
 	}}}).GetApplied()
 }
 
-func (m *machine) delegationOf(shard uint32) *schemav1.DelegationRun {
+// movedShard is the shard that the cases move.
+const movedShard = 3
+
+func (m *machine) delegation() *schemav1.DelegationRun {
 	for _, delegation := range m.state.View().GetDelegations() {
-		if run, ok := control.Lookup(delegation, shard); ok {
+		if run, ok := control.Lookup(delegation, movedShard); ok {
 			return run
 		}
 	}
@@ -67,7 +70,10 @@
 	configuration := &schemav1.Configuration{
 		Regions:     []*schemav1.Region{{Name: "r1"}},
 		DataCentres: []*schemav1.DataCentre{{Name: "a", Region: "r1"}, {Name: "b", Region: "r1"}},
-		Services:    []*schemav1.Service{{Name: "desk", Kind: schemav1.ServiceKind_SERVICE_KIND_EXCLUSIVE, Shards: shards}},
+		Services: []*schemav1.Service{{
+			Name: "desk", Kind: schemav1.ServiceKind_SERVICE_KIND_EXCLUSIVE, Shards: shards,
+			Routes: []*schemav1.Route{{PathPrefix: "/", Class: schemav1.RequestClass_REQUEST_CLASS_INTERACTIVE}},
+		}},
 	}
 	for _, dataCentre := range configuration.GetDataCentres() {
 		for _, name := range lost {
@@ -160,32 +166,32 @@
 	})
 
 	It("moves a shard only after the old data centre has released it", func() {
-		epoch := m.delegationOf(3).GetEpoch()
-		Expect(m.redelegate("a", "b", epoch, 3, 1)).To(BeTrue())
-		Expect(m.delegationOf(3).GetDataCentre()).To(Equal("a"))
-		Expect(m.delegationOf(3).GetNextDataCentre()).To(Equal("b"))
-		Expect(m.release("a", epoch, 3, 1)).To(BeTrue())
-		Expect(m.delegationOf(3).GetDataCentre()).To(Equal("b"))
-		Expect(m.delegationOf(3).GetEpoch()).To(BeNumerically(">", epoch))
+		epoch := m.delegation().GetEpoch()
+		Expect(m.redelegate("a", "b", epoch, movedShard, 1)).To(BeTrue())
+		Expect(m.delegation().GetDataCentre()).To(Equal("a"))
+		Expect(m.delegation().GetNextDataCentre()).To(Equal("b"))
+		Expect(m.release("a", epoch, movedShard, 1)).To(BeTrue())
+		Expect(m.delegation().GetDataCentre()).To(Equal("b"))
+		Expect(m.delegation().GetEpoch()).To(BeNumerically(">", epoch))
 	})
 
 	DescribeTable("ignores releases and plans that arrive late or from elsewhere",
 		func(act func(epoch uint64) bool) {
-			epoch := m.delegationOf(3).GetEpoch()
+			epoch := m.delegation().GetEpoch()
 			Expect(act(epoch)).To(BeFalse())
-			Expect(m.delegationOf(3).GetDataCentre()).To(Equal("a"))
-			Expect(m.delegationOf(3).GetNextDataCentre()).To(BeEmpty())
+			Expect(m.delegation().GetDataCentre()).To(Equal("a"))
+			Expect(m.delegation().GetNextDataCentre()).To(BeEmpty())
 		},
-		Entry("release without a move", func(epoch uint64) bool { return m.release("a", epoch, 3, 1) }),
-		Entry("release by another data centre", func(epoch uint64) bool { return m.release("b", epoch, 3, 1) }),
-		Entry("plan made for an older epoch", func(epoch uint64) bool { return m.redelegate("a", "b", epoch-1, 3, 1) }),
-		Entry("second first assignment", func(uint64) bool { return m.redelegate("", "b", 0, 3, 1) }),
+		Entry("release without a move", func(epoch uint64) bool { return m.release("a", epoch, movedShard, 1) }),
+		Entry("release by another data centre", func(epoch uint64) bool { return m.release("b", epoch, movedShard, 1) }),
+		Entry("plan made for an older epoch", func(epoch uint64) bool { return m.redelegate("a", "b", epoch-1, movedShard, 1) }),
+		Entry("second first assignment", func(uint64) bool { return m.redelegate("", "b", 0, movedShard, 1) }),
 	)
 
 	It("hands shards of a data centre over at once only when the files declare it lost", func() {
 		m.submit("lost", 1, desk(8, "a"), 0)
-		Expect(m.redelegate("a", "b", m.delegationOf(3).GetEpoch(), 3, 1)).To(BeTrue())
-		Expect(m.delegationOf(3).GetDataCentre()).To(Equal("b"))
+		Expect(m.redelegate("a", "b", m.delegation().GetEpoch(), movedShard, 1)).To(BeTrue())
+		Expect(m.delegation().GetDataCentre()).To(Equal("b"))
 	})
 })
 
