Add the share of the link between regions

Cause: the link carries 30 Mbit/s each way for all traffic and is billed by volume; files must not delay heartbeats or lookups.

Change: pkg/link gives each host a token bucket per direction with strict priority control > interactive > booking > file. Lower classes leave a part of the burst to higher ones, and control may take a burst in advance.

Before: nothing.

Conclusion: pkg/proxy can pace what it sends to the other region; who leases shares to hosts is up to pkg/host.

--- /dev/null
+++ b/pkg/link/bucket_test.go
@@ -0,0 +1,99 @@
+package link
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "link")
+}
+
+// saturate keeps the given number of streams of each class waiting for d and returns the bytes that each class got.
+func saturate(b *bucket, d time.Duration, streams [classCount]int) [classCount]int {
+	var got [classCount]int
+	open := map[*waiter]bool{}
+	push := func(class Class) {
+		w := &waiter{class: class, bytes: chunkBytes, done: make(chan struct{})}
+		open[w] = true
+		b.push(w)
+	}
+	for class, count := range streams {
+		for range count {
+			push(Class(class))
+		}
+	}
+	end := b.at + d
+	for now := b.at; now < end; {
+		b.serve(now)
+		for w := range open {
+			select {
+			case <-w.done:
+				delete(open, w)
+				got[w.class] += w.bytes
+				push(w.class)
+			default:
+			}
+		}
+		now, _ = b.nextServe(now)
+	}
+	return got
+}
+
+var _ = Describe("bucket", func() {
+	const rate = 30e6 / 8 / 10 // a tenth of 30 Mbit/s, in bytes per second
+
+	newBucket := func() *bucket {
+		b := &bucket{}
+		b.setRate(0, rate)
+		return b
+	}
+
+	It("lets no more than the share and one burst pass", func() {
+		b := newBucket()
+		got := saturate(b, 10*time.Second, [classCount]int{Interactive: 3})
+		Expect(float64(got[Interactive])).To(BeNumerically("<=", 10*rate+b.burst))
+		Expect(float64(got[Interactive])).To(BeNumerically(">=", 10*rate-chunkBytes))
+	})
+
+	DescribeTable("serves a higher class first",
+		func(higher, lower Class) {
+			b := newBucket()
+			var streams [classCount]int
+			streams[higher], streams[lower] = 1, 5
+			got := saturate(b, 10*time.Second, streams)
+			// The lower class gets at most what was saved up at the start.
+			Expect(float64(got[lower])).To(BeNumerically("<=", b.burst))
+			Expect(float64(got[higher])).To(BeNumerically(">=", 9*rate))
+		},
+		Entry("control before interactive", Control, Interactive),
+		Entry("interactive before booking", Interactive, Booking),
+		Entry("booking before file", Booking, File),
+	)
+
+	It("leaves tokens to higher classes while files saturate the link", func() {
+		b := newBucket()
+		saturate(b, 10*time.Second, [classCount]int{File: 5})
+		b.queues = [classCount][]*waiter{}
+		Expect(b.takeNow(b.at, Interactive, chunkBytes)).To(BeTrue())
+		Expect(b.takeNow(b.at, Control, chunkBytes)).To(BeTrue())
+	})
+
+	It("bounds what control takes in advance, so that a faulty sender can't stop the link for long", func() {
+		b := newBucket()
+		b.spend(0, 1e9)
+		Expect(b.tokens).To(Equal(-b.burst))
+	})
+
+	It("follows a new share without saved-up tokens of the old one", func() {
+		b := newBucket()
+		b.setRate(0, rate*100)
+		b.refill(time.Hour)
+		b.setRate(time.Hour, rate)
+		Expect(b.tokens).To(Equal(b.burst))
+	})
+})
