Add data centre group table, leader driver and placement planner

Cause: the design fixes ownership and placement, but nothing decided who owns a shard.

Change: pkg/ownership has Table, the deterministic state machine of a data centre group with lock-free Assignment, and Driver, which grants host leases and proposes registrations, losses, attachments, assignments, moves, hot key splits and merges. pkg/placement plans assignments and capped moves. The schema gets guards against stale plans (attachment numbers, attempts of records) and the applied index in lease renewals: a host whose table lacks the loss of an attachment must not get a lease.

--- /dev/null
+++ b/pkg/ownership/suite_test.go
@@ -0,0 +1,115 @@
+package ownership_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"almondrock.example/almondrock/pkg/ownership"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+func TestOwnership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ownership")
+}
+
+const (
+	dataCentre = "seoul-gangnam"
+	service    = "fitting-desk"
+	keyspaceID = "fitting-desk/*"
+)
+
+// log applies commands to a table the way the replica does.
+type log struct {
+	table *ownership.Table
+	index uint64
+}
+
+func (l *log) apply(command *schemav1.GroupCommand) *schemav1.GroupResult {
+	l.index++
+	encoded, err := proto.Marshal(command)
+	Expect(err).NotTo(HaveOccurred())
+	var result schemav1.GroupResult
+	Expect(proto.Unmarshal(l.table.Apply(l.index, encoded), &result)).To(Succeed())
+	return &result
+}
+
+func newLog() *log {
+	return &log{table: ownership.NewTable(dataCentre, 1)}
+}
+
+func announcement(target, boot string, sequence uint64) *schemav1.Announcement {
+	return &schemav1.Announcement{
+		Target: target, Service: service, Address: target + ":80", BootId: boot, Sequence: sequence, Slots: 2,
+		MaxConnections: 130, DataCentre: dataCentre, Capabilities: &schemav1.TargetCapabilities{Fence: true},
+	}
+}
+
+func register(a *schemav1.Announcement) *schemav1.GroupCommand {
+	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_RegisterTarget{
+		RegisterTarget: &schemav1.RegisterTarget{Announcement: a},
+	}}
+}
+
+func lost(target, boot string) *schemav1.GroupCommand {
+	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_MarkTargetLost{
+		MarkTargetLost: &schemav1.MarkTargetLost{Target: target, BootId: boot},
+	}}
+}
+
+func attach(target, host string, expected uint64) *schemav1.GroupCommand {
+	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_AttachTarget{
+		AttachTarget: &schemav1.AttachTarget{Target: target, Host: host, ExpectedAttachment: expected},
+	}}
+}
+
+func change(shard uint32, target string, fence, attachment uint64) *schemav1.ShardAssignment {
+	return &schemav1.ShardAssignment{
+		Keyspace: keyspaceID, Shard: shard, Target: target, ExpectedFenceCounter: fence,
+		ExpectedOwnerAttachment: attachment,
+	}
+}
+
+func assign(a ...*schemav1.ShardAssignment) *schemav1.GroupCommand {
+	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_AssignShards{
+		AssignShards: &schemav1.AssignShards{Assignments: a},
+	}}
+}
+
+func startMove(a ...*schemav1.ShardAssignment) *schemav1.GroupCommand {
+	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_StartMoves{StartMoves: &schemav1.StartMoves{Moves: a}}}
+}
+
+func finishMove(a ...*schemav1.ShardAssignment) *schemav1.GroupCommand {
+	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_FinishMoves{FinishMoves: &schemav1.FinishMoves{Moves: a}}}
+}
+
+func setView(v *schemav1.ControlView) *schemav1.GroupCommand {
+	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_SetControlView{
+		SetControlView: &schemav1.SetControlView{View: v},
+	}}
+}
+
+// view lists hosts h1 to hN with identities 1 to N and delegates all shards here under epoch 1.
+func view(index uint64, hosts int, shards uint32) *schemav1.ControlView {
+	v := &schemav1.ControlView{
+		Index: index,
+		Configuration: &schemav1.Configuration{Services: []*schemav1.Service{
+			{Name: service, Kind: schemav1.ServiceKind_SERVICE_KIND_EXCLUSIVE, Shards: shards},
+		}},
+		Delegations: []*schemav1.KeyspaceDelegation{{
+			Keyspace: keyspaceID, Service: service, Shards: shards,
+			Runs: []*schemav1.DelegationRun{{FirstShard: 0, Count: shards, DataCentre: dataCentre, Epoch: 1}},
+		}},
+	}
+	for i := 1; i <= hosts; i++ {
+		v.Hosts = append(v.Hosts, &schemav1.Host{
+			Name: fmt.Sprintf("h%d", i), Identity: uint64(i), DataCentre: dataCentre, //nolint:gosec // small and positive
+		})
+	}
+	return v
+}
