--- /dev/null
+++ b/pkg/host/methods.go
@@ -0,0 +1,18 @@
+package host
+
+// Methods of calls between hosts.
+const (
+	methodStep      = "Raft.Step"
+	methodJoin      = "Control.Join"
+	methodPoll      = "Control.Poll"
+	methodSubmit    = "Control.Submit"
+	methodBootstrap = "Control.Bootstrap"
+	methodAddMember = "Control.AddMember"
+	methodRenew     = "Group.Renew"
+	methodPropose   = "Group.Propose"
+	methodAnnounce  = "Group.Announce"
+	methodSeal      = "Group.Seal"
+)
+
+// controlGroup is the name of the control group in Raft batches.
+const controlGroup = "control"
