Add the Raft core and the replica that runs it

Cause: both the control group and the data centre groups need a replicated log, with leader leases that never overlap and sealing of a generation.

Before: nothing.

--- /dev/null
+++ b/pkg/raft/membership.go
@@ -0,0 +1,117 @@
+package raft
+
+import (
+	"slices"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// configuration is a membership that is in force from index on. It takes effect when its entry is appended, not when
+// it is committed (thesis 4.1).
+type configuration struct {
+	index      uint64
+	membership *schemav1.Membership
+}
+
+// memberships is the history of configurations from the snapshot to the end of the log, so that a truncation can go
+// back to an older one.
+type memberships []configuration
+
+func (m memberships) current() configuration { return m[len(m)-1] }
+
+// at returns the membership in force at index.
+func (m memberships) at(index uint64) *schemav1.Membership {
+	for i := len(m) - 1; i > 0; i-- {
+		if m[i].index <= index {
+			return m[i].membership
+		}
+	}
+	return m[0].membership
+}
+
+func (m memberships) truncate(index uint64) memberships {
+	for len(m) > 1 && m.current().index >= index {
+		m = m[:len(m)-1]
+	}
+	return m
+}
+
+// compact keeps the configuration in force at index and all later ones.
+func (m memberships) compact(index uint64) memberships {
+	for len(m) > 1 && m[1].index <= index {
+		m = m[1:]
+	}
+	return slices.Clone(m)
+}
+
+func (m memberships) append(entry *schemav1.Entry) (memberships, error) {
+	if entry.GetType() != schemav1.EntryType_ENTRY_TYPE_MEMBERSHIP {
+		return m, nil
+	}
+	change := &schemav1.MembershipChange{}
+	if err := proto.Unmarshal(entry.GetData(), change); err != nil {
+		return nil, &ConfigError{"membership entry does not decode: " + err.Error()}
+	}
+	return append(m, configuration{entry.GetIndex(), changed(m.current().membership, change)}), nil
+}
+
+// changed returns a copy of membership with change made.
+func changed(membership *schemav1.Membership, change *schemav1.MembershipChange) *schemav1.Membership {
+	next := &schemav1.Membership{}
+	id := change.GetMember().GetId()
+	for _, member := range membership.GetMembers() {
+		if member.GetId() != id {
+			next.Members = append(next.Members, member)
+			continue
+		}
+		if change.GetKind() == schemav1.MembershipChange_KIND_PROMOTE {
+			next.Members = append(next.Members, &schemav1.Member{Id: id, Address: member.GetAddress()})
+		}
+	}
+	if change.GetKind() == schemav1.MembershipChange_KIND_ADD_LEARNER {
+		next.Members = append(next.Members,
+			&schemav1.Member{Id: id, Address: change.GetMember().GetAddress(), Learner: true})
+	}
+	return next
+}
+
+func findMember(membership *schemav1.Membership, id uint64) *schemav1.Member {
+	for _, member := range membership.GetMembers() {
+		if member.GetId() == id {
+			return member
+		}
+	}
+	return nil
+}
+
+func isVoter(membership *schemav1.Membership, id uint64) bool {
+	member := findMember(membership, id)
+	return member != nil && !member.GetLearner()
+}
+
+// quorumValue returns the highest value that a majority of voters has reached; 0 without voters.
+func quorumValue(membership *schemav1.Membership, value func(id uint64) uint64) uint64 {
+	var values []uint64
+	for _, member := range membership.GetMembers() {
+		if !member.GetLearner() {
+			values = append(values, value(member.GetId()))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// quorumOf reports whether a majority of voters satisfies holds.
+func quorumOf(membership *schemav1.Membership, holds func(id uint64) bool) bool {
+	return quorumValue(membership, func(id uint64) uint64 {
+		if holds(id) {
+			return 1
+		}
+		return 0
+	}) == 1
+}
--- /dev/null
+++ b/pkg/replication/status.go
@@ -0,0 +1,73 @@
+package replication
+
+import (
+	"time"
+
+	"almondrock.example/almondrock/pkg/raft"
+)
+
+// MemberStatus describes one member. Match, Silent and CaughtUp are known to the leader only.
+type MemberStatus struct {
+	ID      uint64
+	Address string
+	Learner bool
+	// Match is the last log index that the member has acknowledged.
+	Match uint64
+	// Silent is the time since the member's last answer; 0 for the leader itself.
+	Silent time.Duration
+	// CaughtUp tells whether a learner may be promoted now.
+	CaughtUp bool
+}
+
+// Status is a member's view of its group.
+type Status struct {
+	ID   uint64
+	Role raft.Role
+	Term uint64
+	// Leader is 0 while none is known.
+	Leader        uint64
+	LeaderAddress string
+	Sealed        bool
+	// Commit and Applied are log indexes.
+	Commit, Applied   uint64
+	LastIndex         uint64
+	LastTerm          uint64
+	LastSnapshotIndex uint64
+	// Members is refreshed every heartbeat interval and when leader or term change.
+	Members []MemberStatus
+}
+
+// Status returns the view after the last finished cycle.
+func (r *Replica) Status() Status {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.status
+}
+
+func (r *Replica) publishStatus() {
+	s := r.member.node.Status()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	members := r.status.Members
+	if s.Now >= r.membersAt+raft.DefaultHeartbeatTicks || s.Term != r.status.Term || s.Leader != r.status.Leader ||
+		len(s.Members) != len(members) {
+		members, r.membersAt = r.memberStatuses(s.Members), s.Now
+	}
+	r.status = Status{
+		ID: s.ID, Role: s.Role, Term: s.Term, Leader: s.Leader, LeaderAddress: r.member.addressOf(s.Leader),
+		Sealed: s.Sealed, Commit: s.Commit, Applied: s.Applied, LastIndex: s.LastIndex, LastTerm: s.LastTerm,
+		LastSnapshotIndex: s.SnapshotIndex, Members: members,
+	}
+}
+
+func (r *Replica) memberStatuses(members []raft.MemberStatus) []MemberStatus {
+	statuses := make([]MemberStatus, 0, len(members))
+	for _, member := range members {
+		statuses = append(statuses, MemberStatus{
+			ID: member.Member.GetId(), Address: member.Member.GetAddress(), Learner: member.Member.GetLearner(),
+			Match: member.Match, CaughtUp: member.CaughtUp,
+			Silent: time.Duration(member.SilentTicks) * r.member.options.Tick,
+		})
+	}
+	return statuses
+}
