--- a/pkg/host/control.go
+++ b/pkg/host/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -34,6 +33,8 @@
 	seeds []seed
 	state *control.State
 	log   *wal.Log
+	// identity is kept on the disk with the log.
+	identity uint64
 	// fresh is set while the data folder holds no log.
 	fresh bool
 
@@ -52,8 +53,12 @@
 	if err != nil {
 		return nil, err
 	}
+	identity, err := log.Identity()
+	if err != nil {
+		return nil, err
+	}
 	fresh := state.HardState == nil && state.Snapshot == nil && len(state.Entries) == 0
-	return &controlMember{host: h, seeds: seeds, state: control.NewState(), log: log, fresh: fresh}, nil
+	return &controlMember{host: h, seeds: seeds, state: control.NewState(), log: log, identity: identity, fresh: fresh}, nil
 }
 
 // run starts the replica and decides while this host leads.
@@ -63,7 +68,7 @@
 		return err
 	}
 	replica, err := replication.New(replication.Options{
-		ID:             c.host.identity,
+		ID:             c.identity,
 		Address:        c.host.addresses.rpc,
 		Group:          controlGroup,
 		InitialMembers: initial,
@@ -145,8 +150,9 @@
 	for {
 		members, exists, complete := c.askSeeds(ctx)
 		switch {
-		case exists && slices.ContainsFunc(members, func(m *schemav1.Member) bool { return m.GetId() == c.host.identity }):
-			return members, nil
+		case exists && slices.ContainsFunc(members, func(m *schemav1.Member) bool { return m.GetId() == c.identity }):
+			// The running group gives its members with the log; they may have changed since the first start.
+			return nil, nil
 		case exists:
 			if c.requestMembership(ctx) {
 				return nil, nil
@@ -167,11 +173,11 @@
 	complete = true
 	for _, s := range c.seeds {
 		if s.name == c.host.settings.GetName() {
-			members = append(members, &schemav1.Member{Id: c.host.identity, Address: s.address})
+			members = append(members, &schemav1.Member{Id: c.identity, Address: s.address})
 			continue
 		}
 		response := &schemav1.BootstrapResponse{}
-		request := &schemav1.BootstrapRequest{Name: c.host.settings.GetName(), Identity: c.host.identity}
+		request := &schemav1.BootstrapRequest{Name: c.host.settings.GetName(), Identity: c.identity}
 		if err := c.host.call(ctx, s.address, methodBootstrap, request, response); err != nil {
 			complete = false
 			continue
@@ -188,7 +194,7 @@
 func (c *controlMember) requestMembership(ctx context.Context) bool {
 	request := &schemav1.AddMemberRequest{
 		Name:   c.host.settings.GetName(),
-		Member: &schemav1.Member{Id: c.host.identity, Address: c.host.addresses.rpc},
+		Member: &schemav1.Member{Id: c.identity, Address: c.host.addresses.rpc},
 	}
 	for _, s := range c.seeds {
 		response := &schemav1.AddMemberResponse{}
@@ -201,7 +207,7 @@
 
 // bootstrap answers another first member.
 func (c *controlMember) bootstrap(_ context.Context, _ *schemav1.BootstrapRequest) (*schemav1.BootstrapResponse, error) {
-	response := &schemav1.BootstrapResponse{Identity: c.host.identity}
+	response := &schemav1.BootstrapResponse{Identity: c.identity}
 	replica, _ := c.parts()
 	switch {
 	case replica != nil:
@@ -240,6 +246,13 @@
 	return &schemav1.AddMemberResponse{Answered: true}, nil
 }
 
+// close releases the data folder.
+func (c *controlMember) close() {
+	if c != nil {
+		c.log.Close()
+	}
+}
+
 func (c *controlMember) parts() (*replication.Replica, *control.Service) {
 	if c == nil {
 		return nil, nil
@@ -322,35 +335,3 @@
 	defer cancel()
 	return h.client.Call(ctx, address, method, request, response)
 }
-
-// callControl calls the control group's leader: the one known from earlier answers first, then the seeds in turn.
-func (h *Host) callControl(ctx context.Context, method string, request proto.Message, attempt func(address string) (leader string, answered bool, err error)) error {
-	_ = request
-	candidates := append([]string{h.controlLeader()}, h.seedAddresses()...)
-	tried := map[string]bool{"": true}
-	var last error
-	for len(candidates) > 0 {
-		address := candidates[0]
-		candidates = candidates[1:]
-		if tried[address] {
-			continue
-		}
-		tried[address] = true
-		leader, answered, err := attempt(address)
-		switch {
-		case err != nil:
-			last = err
-		case answered:
-			h.setControlLeader(address)
-			return nil
-		default:
-			candidates = append([]string{leader}, candidates...)
-		}
-	}
-	h.setControlLeader("")
-	if last == nil {
-		last = ErrNotLeader.Here()
-	}
-	klog.V(3).InfoS("control group not reached", "host", h.settings.GetName(), "method", strings.TrimPrefix(method, "Control."), "err", last)
-	return last
-}
--- /dev/null
+++ b/pkg/host/gate.go
@@ -0,0 +1,105 @@
+package host
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"almondrock.example/almondrock/pkg/limit"
+	"almondrock.example/almondrock/pkg/link"
+	"almondrock.example/almondrock/pkg/proxy"
+	"almondrock.example/almondrock/pkg/retry"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/target"
+)
+
+// gate adapts the gate of package limit to package target.
+type gate struct {
+	*limit.Gate
+}
+
+func (h *Host) newGate(record *schemav1.TargetRecord) target.Gate {
+	announcement := record.GetAnnouncement()
+	maxQueue := limit.DefaultMaxQueue
+	if view := h.views.get(); view != nil && view.snapshot != nil {
+		maxQueue = int(view.snapshot.MaxQueueAt(h.settings.GetDataCentre(), announcement.GetService()))
+	}
+	return gate{limit.NewGate(limit.Options{
+		Slots:    announcement.GetSlots(),
+		MaxQueue: maxQueue,
+		BootID:   announcement.GetBootId(),
+	})}
+}
+
+// Acquire implements target.Gate.
+func (g gate) Acquire(ctx context.Context, ticket target.Ticket) (target.Permit, error) {
+	permit, err := g.Gate.Acquire(ctx, limit.Ticket(ticket))
+	if err != nil {
+		return nil, err
+	}
+	return permitAdapter{permit}, nil
+}
+
+type permitAdapter struct {
+	permit *limit.Permit
+}
+
+// Release implements target.Permit.
+func (p permitAdapter) Release(outcome target.Outcome) {
+	p.permit.Release(limit.Outcome{Result: limit.Result(outcome.Result), Latency: outcome.Latency})
+}
+
+// retries adapts package retry to the data path.
+type retries struct {
+	budget *retry.Budget
+}
+
+// Request implements proxy.Retries.
+func (r retries) Request() { r.budget.Request() }
+
+// Next implements proxy.Retries.
+func (r retries) Next(attempt proxy.Attempt) (time.Duration, bool) {
+	decision := retry.Decide(retry.Attempt{
+		Idempotent: attempt.Idempotent,
+		Ran:        attempt.Ran,
+		BodyGone:   attempt.BodyGone,
+		Left:       attempt.Left,
+		RetryAfter: attempt.RetryAfter,
+		Retries:    attempt.Retries,
+		Budget:     r.budget.Left(),
+	}, rand.Float64()) //nolint:gosec // jitter needs no secret randomness
+	if !decision.Retry || !r.budget.Spend() {
+		return 0, false
+	}
+	return decision.Wait, true
+}
+
+// linkAdapter paces streams between regions.
+type linkAdapter struct {
+	link *link.Link
+}
+
+// Open implements proxy.Link.
+func (l linkAdapter) Open(ctx context.Context, outward bool, class schemav1.RequestClass, size int64, left time.Duration, source io.Reader) (io.ReadCloser, error) {
+	direction := link.In
+	if outward {
+		direction = link.Out
+	}
+	stream, err := l.link.Open(direction, link.ClassOf(class), size, left)
+	if err != nil {
+		return nil, err
+	}
+	return pacedReader{Reader: stream.Reader(ctx, source), stream: stream}, nil
+}
+
+type pacedReader struct {
+	io.Reader
+	stream *link.Stream
+}
+
+// Close implements io.Closer.
+func (r pacedReader) Close() error {
+	r.stream.Close()
+	return nil
+}
--- a/pkg/host/group.go
+++ b/pkg/host/group.go
@@ -28,9 +28,10 @@
 
 // group is this host's membership in one generation of its data centre group.
 type group struct {
-	host    *Host
-	table   *ownership.Table
-	replica *replication.Replica
+	host       *Host
+	assignment *schemav1.GroupAssignment
+	table      *ownership.Table
+	replica    *replication.Replica
 
 	mu     sync.Mutex
 	driver *ownership.Driver
@@ -66,7 +67,7 @@
 	}
 	klog.InfoS("joined data centre group", "host", h.settings.GetName(), "dataCentre", dataCentre,
 		"generation", assignment.GetGeneration(), "voter", initial != nil)
-	return &group{host: h, table: table, replica: replica}, nil
+	return &group{host: h, assignment: assignment, table: table, replica: replica}, nil
 }
 
 // leads reports whether this host leads the group and has applied everything up to its own term.
--- /dev/null
+++ b/pkg/host/groupservice.go
@@ -0,0 +1,229 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/ownership"
+	"almondrock.example/almondrock/pkg/replication"
+	"almondrock.example/almondrock/pkg/rpc"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// register adds the handlers of calls between hosts.
+func (h *Host) register(server *rpc.Server) {
+	rpc.Register(server, methodStep, h.handleStep)
+	rpc.Register(server, methodRenew, h.handleRenew)
+	rpc.Register(server, methodPropose, h.handlePropose)
+	rpc.Register(server, methodAnnounce, h.handleAnnounce)
+	rpc.Register(server, methodSeal, h.handleSeal)
+	if h.control == nil {
+		return
+	}
+	rpc.Register(server, methodBootstrap, h.control.bootstrap)
+	rpc.Register(server, methodAddMember, h.control.addMember)
+	rpc.Register(server, methodJoin, func(ctx context.Context, request *schemav1.JoinRequest) (*schemav1.JoinResponse, error) {
+		_, service := h.control.parts()
+		if service == nil {
+			return &schemav1.JoinResponse{}, nil
+		}
+		return service.Join(ctx, request)
+	})
+	rpc.Register(server, methodPoll, func(ctx context.Context, request *schemav1.PollRequest) (*schemav1.PollResponse, error) {
+		_, service := h.control.parts()
+		if service == nil {
+			return &schemav1.PollResponse{}, nil
+		}
+		return service.Poll(ctx, request)
+	})
+	rpc.Register(server, methodSubmit, func(ctx context.Context, request *schemav1.SubmitRequest) (*schemav1.SubmitResponse, error) {
+		_, service := h.control.parts()
+		if service == nil {
+			return &schemav1.SubmitResponse{}, nil
+		}
+		return service.Submit(ctx, request)
+	})
+}
+
+// handleStep hands Raft messages to the replica of their group; others are late and ignored.
+func (h *Host) handleStep(_ context.Context, batch *schemav1.RaftBatch) (*schemav1.RaftBatchResponse, error) {
+	var replica *replication.Replica
+	if batch.GetGroup() == controlGroup {
+		replica, _ = h.control.parts()
+	} else if g := h.group.Load(); g != nil {
+		replica = g.replica
+	}
+	if replica != nil {
+		// A batch of another group or generation is refused by the replica; the sender learns of the new one by polling.
+		_ = replica.Step(batch)
+	}
+	return &schemav1.RaftBatchResponse{}, nil
+}
+
+func (h *Host) handleRenew(_ context.Context, request *schemav1.RenewRequest) (*schemav1.RenewResponse, error) {
+	g := h.group.Load()
+	if g == nil {
+		return &schemav1.RenewResponse{}, nil
+	}
+	driver, leads := g.leads()
+	if !leads {
+		return &schemav1.RenewResponse{LeaderAddress: g.replica.Status().LeaderAddress}, nil
+	}
+	return driver.Renew(h.clock(), request), nil
+}
+
+func (h *Host) handlePropose(ctx context.Context, request *schemav1.ProposeRequest) (*schemav1.ProposeResponse, error) {
+	g := h.group.Load()
+	if g == nil || g.table.Generation() != request.GetGeneration() {
+		return &schemav1.ProposeResponse{}, nil
+	}
+	result, err := g.propose(ctx, request.GetCommand())
+	if err != nil {
+		var notLeader *replication.NotLeaderError
+		if asError(err, &notLeader) {
+			return &schemav1.ProposeResponse{LeaderAddress: notLeader.Address}, nil
+		}
+		return nil, err
+	}
+	return &schemav1.ProposeResponse{Accepted: true, Result: result}, nil
+}
+
+func (h *Host) handleAnnounce(_ context.Context, request *schemav1.AnnounceRequest) (*schemav1.AnnounceResponse, error) {
+	g := h.group.Load()
+	if g == nil {
+		return &schemav1.AnnounceResponse{}, nil
+	}
+	driver, leads := g.leads()
+	if !leads {
+		return &schemav1.AnnounceResponse{LeaderAddress: g.replica.Status().LeaderAddress}, nil
+	}
+	return &schemav1.AnnounceResponse{Answered: true, Accepted: driver.Announce(h.clock(), request.GetAnnouncement())}, nil
+}
+
+// handleSeal ends this host's part in a generation for good.
+func (h *Host) handleSeal(ctx context.Context, request *schemav1.SealRequest) (*schemav1.SealResponse, error) {
+	g := h.group.Load()
+	if g == nil || g.table.DataCentre() != request.GetDataCentre() || g.table.Generation() != request.GetGeneration() {
+		return &schemav1.SealResponse{}, nil
+	}
+	sealed, err := g.replica.Seal(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if len(sealed.Snapshot) == 0 {
+		// Nothing was applied yet, so the generation's state is still the one that it started from.
+		sealed.Snapshot = g.assignment.GetSealedState()
+	}
+	state, err := sealed.State(ownership.NewTable(request.GetDataCentre(), request.GetGeneration()))
+	if err != nil {
+		return nil, err
+	}
+	response := &schemav1.SealResponse{Sealed: true, LastTerm: sealed.LastTerm, LastIndex: sealed.LastIndex, State: state}
+	for _, member := range g.replica.Status().Members {
+		if !member.Learner {
+			response.Voters = append(response.Voters, &schemav1.Member{Id: member.ID, Address: member.Address})
+		}
+	}
+	return response, nil
+}
+
+// propose commits a command on this replica.
+func (g *group) propose(ctx context.Context, command *schemav1.GroupCommand) (*schemav1.GroupResult, error) {
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return nil, err
+	}
+	out, err := g.replica.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	result := &schemav1.GroupResult{}
+	return result, proto.Unmarshal(out, result)
+}
+
+const (
+	// proposeTries bounds how often a proposal follows a change of leader; proposePause covers one election.
+	proposeTries = 5
+	proposePause = 100 * time.Millisecond
+)
+
+// proposeToLeader commits a command wherever the leader is. An error leaves open whether the command was committed,
+// unless it is ErrNotLeader or ErrNoGroup.
+func (h *Host) proposeToLeader(ctx context.Context, command *schemav1.GroupCommand) (*schemav1.GroupResult, error) {
+	for range proposeTries {
+		g := h.group.Load()
+		if g == nil {
+			return nil, ErrNoGroup.Here()
+		}
+		result, err := h.proposeOnce(ctx, g, command)
+		if err == nil && result != nil {
+			return result, nil
+		}
+		if err != nil && !isNotProposed(err) {
+			return nil, err
+		}
+		if !pause(ctx, proposePause) {
+			return nil, ctx.Err()
+		}
+	}
+	return nil, ErrNotLeader.Here()
+}
+
+// proposeOnce returns nothing when the leader changed and the command was certainly not proposed.
+func (h *Host) proposeOnce(ctx context.Context, g *group, command *schemav1.GroupCommand) (*schemav1.GroupResult, error) {
+	status := g.replica.Status()
+	if status.Leader == h.identity {
+		return g.propose(ctx, command)
+	}
+	if status.LeaderAddress == "" {
+		return nil, nil
+	}
+	response := &schemav1.ProposeResponse{}
+	request := &schemav1.ProposeRequest{Generation: g.table.Generation(), Command: command}
+	if err := h.call(ctx, status.LeaderAddress, methodPropose, request, response); err != nil {
+		return nil, err
+	}
+	if !response.GetAccepted() {
+		return nil, nil
+	}
+	return response.GetResult(), nil
+}
+
+// isNotProposed reports whether a command certainly was not proposed.
+func isNotProposed(err error) bool {
+	var notLeader *replication.NotLeaderError
+	var unavailable *rpc.UnavailableError
+	return asError(err, &notLeader) || asError(err, &unavailable)
+}
+
+// acceptAnnouncement passes a target's announcement to the leader of the group.
+func (h *Host) acceptAnnouncement(ctx context.Context, announcement *schemav1.Announcement) error {
+	g := h.group.Load()
+	if g == nil {
+		return retryLater("this host is not yet a member of its data centre group")
+	}
+	request := &schemav1.AnnounceRequest{Generation: g.table.Generation(), Announcement: announcement}
+	var response *schemav1.AnnounceResponse
+	var err error
+	if status := g.replica.Status(); status.Leader == h.identity {
+		response, err = h.handleAnnounce(ctx, request)
+	} else {
+		response = &schemav1.AnnounceResponse{}
+		err = h.call(ctx, status.LeaderAddress, methodAnnounce, request, response)
+	}
+	switch {
+	case err != nil || !response.GetAnswered():
+		return retryLater("the data centre group has no leader")
+	case !response.GetAccepted():
+		return apierr.New(apierr.BadRequest, "the announcement is older than one known, or contradicts a live target of the same name")
+	}
+	return nil
+}
+
+// retryLater is a refusal that an election or a join will end.
+func retryLater(message string) error {
+	return apierr.Wrap(&apierr.Refusal{Code: apierr.Draining, Ran: apierr.NotRun, Message: message, RetryAfter: time.Second})
+}
--- /dev/null
+++ b/pkg/host/records.go
@@ -0,0 +1,45 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"almondrock.example/almondrock/pkg/apierr"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// storeFullRetry is when a full record store may have room again: records expire in the order they were made.
+const storeFullRetry = time.Minute
+
+// records implements proxy.Records over the log of the data centre group.
+type records struct {
+	host *Host
+}
+
+// Begin implements proxy.Records.
+func (r records) Begin(ctx context.Context, record *schemav1.IdempotencyRecord) (*schemav1.IdempotencyRecord, bool, error) {
+	command := &schemav1.GroupCommand{Command: &schemav1.GroupCommand_BeginRecord{BeginRecord: &schemav1.BeginRecord{Record: record}}}
+	result, err := r.host.proposeToLeader(ctx, command)
+	if err != nil {
+		return nil, false, err
+	}
+	if result.GetStoreFull() {
+		return nil, false, apierr.Wrap(&apierr.Refusal{
+			Code: apierr.RecordStoreFull, Ran: apierr.NotRun, RetryAfter: storeFullRetry,
+			Message: "the store of idempotency records is full",
+		})
+	}
+	return result.GetRecord(), result.GetBegun(), nil
+}
+
+// Finish implements proxy.Records.
+func (r records) Finish(ctx context.Context, id []byte, state schemav1.RecordState, answer *schemav1.StoredAnswer) error {
+	_, err := r.host.proposeToLeader(ctx, &schemav1.GroupCommand{Command: &schemav1.GroupCommand_FinishRecord{
+		FinishRecord: &schemav1.FinishRecord{Id: id, State: state, Answer: answer},
+	}})
+	return err
+}
+
+// asError is errors.As with the type inferred.
+func asError[T error](err error, target *T) bool { return errors.As(err, target) }
