--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -158,6 +158,10 @@
 		for c.queues[class].size > 0 && c.canStart(now, schemav1.RequestClass(class)) {
 			w := c.queues[class].pop()
 			c.queued--
+			if c.tooLate(now, w) {
+				c.settled(w, overloaded(c.times.of(w.class), "too little time is left for an answer"))
+				continue
+			}
 			w.started = now
 			c.start(now, w.class)
 			c.settled(w, nil)
@@ -165,6 +169,12 @@
 	}
 }
 
+// tooLate reports whether w would probably be answered after its deadline, and another request can use the slot. The
+// estimate at its arrival doesn't know of requests that came later and went first.
+func (c *core) tooLate(now time.Duration, w *waiter) bool {
+	return !c.admitAll && c.queued > 0 && now+c.times.of(w.class) > w.deadline
+}
+
 func (c *core) expire(now time.Duration) {
 	for class := range c.queues {
 		queue := &c.queues[class]
--- a/pkg/limit/gate_test.go
+++ b/pkg/limit/gate_test.go
@@ -258,6 +258,19 @@
 		Consistently(inTime.done, "20ms").ShouldNot(BeClosed())
 	})
 
+	It("gives a freed slot to a request that can still be answered in time", func() {
+		b := newBench(1, 64)
+		b.warm(100 * time.Millisecond)
+		held := b.now(minute)
+		tooLate := b.queue(ctx, limit.Ticket{Deadline: 250 * time.Millisecond})
+		inTime := b.queue(ctx, limit.Ticket{Deadline: 500 * time.Millisecond})
+		b.clock.advance(200 * time.Millisecond)
+		held.Release(limit.Outcome{Latency: 100 * time.Millisecond})
+		tooLate.expectRefusal(apierr.Overloaded)
+		Eventually(inTime.done).Should(BeClosed())
+		Expect(inTime.err).NotTo(HaveOccurred())
+	})
+
 	It("admits to an idle target even when its last answers took longer than the deadline", func() {
 		// A wrong estimate must not shut out all requests: without answers it would never be corrected.
 		b := newBench(1, 64)
