Add target manager and data path

Cause: requests need a path from any host to the host that a target is attached to, with ownership and lease checked right before the write, and answers that are complete and belong to their request.

Change: pkg/target holds attached targets: a connection pool that knows whether a byte of a request was written, grants renewed with the host lease, stop, drain and revocation of moving shards, detection of lost targets, and the handler of announcements. pkg/proxy has the handlers for callers and for other hosts, retries, resumed files and idempotency records. The gate, the retry policy and the link are narrow interfaces until their packages are merged.

Before: no data path.

--- /dev/null
+++ b/pkg/proxy/faults_test.go
@@ -0,0 +1,150 @@
+package proxy_test
+
+import (
+	"bytes"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/standin"
+)
+
+// outcome is what a caller may see of a fault, and how often the target may have run the request.
+type outcome struct {
+	status int
+	code   apierr.Code
+	ran    apierr.Ran
+	runs   int
+}
+
+// A fault of the target must end in a complete answer to the request itself (I6), or in a true refusal (I7). A
+// non-idempotent request runs at most once whatever happens (I8).
+var _ = DescribeTable("I6 I7 I8: faults of a target",
+	func(faults standin.Faults, method string, want outcome) {
+		w, h, _, server := twoHosts(standin.Options{Faults: faults})
+		w.resolution.Deadline = 300 * time.Millisecond
+		reply := ask(method, h.address, "/desk/book", "")
+		Expect(reply.err).NotTo(HaveOccurred())
+		Expect(reply.status).To(Equal(want.status), string(reply.body))
+		if want.code != "" {
+			refusal := reply.refusal()
+			Expect(refusal.Code).To(Equal(want.code), refusal.Message)
+			Expect(refusal.Ran).To(Equal(want.ran), refusal.Message)
+		}
+		if want.ran == apierr.NotRun {
+			Expect(server.Runs()).To(BeEmpty())
+		}
+		Expect(server.Runs()).To(HaveLen(want.runs))
+	},
+	Entry("no fault", standin.Faults{}, "POST", outcome{200, "", "", 1}),
+	Entry("wrong id, non-idempotent", standin.Faults{RequestID: standin.RequestIDWrong}, "POST",
+		outcome{502, apierr.BadAnswer, apierr.Unknown, 1}),
+	Entry("missing id, non-idempotent", standin.Faults{RequestID: standin.RequestIDMissing}, "POST",
+		outcome{502, apierr.BadAnswer, apierr.Unknown, 1}),
+	Entry("wrong id, idempotent: retried twice", standin.Faults{RequestID: standin.RequestIDWrong}, "GET",
+		outcome{502, apierr.BadAnswer, apierr.Unknown, 3}),
+	Entry("no answer, non-idempotent", standin.Faults{Drop: true}, "POST",
+		outcome{504, apierr.OutcomeUnknown, apierr.Unknown, 1}),
+	Entry("no answer, idempotent", standin.Faults{Drop: true}, "PUT",
+		outcome{503, apierr.OwnerUnreachable, apierr.Unknown, 3}),
+	Entry("shed, non-idempotent", standin.Faults{Refuse: true}, "POST",
+		outcome{503, apierr.Overloaded, apierr.NotRun, 0}),
+	Entry("shed, idempotent", standin.Faults{Refuse: true}, "GET",
+		outcome{503, apierr.Overloaded, apierr.NotRun, 0}),
+	Entry("answer cut, non-idempotent", standin.Faults{TruncateAfter: 10}, "POST",
+		outcome{504, apierr.OutcomeUnknown, apierr.Unknown, 1}),
+	Entry("answer cut, no entity tag", standin.Faults{TruncateAfter: 10}, "GET",
+		outcome{503, apierr.OwnerUnreachable, apierr.Unknown, 3}),
+	Entry("answer after the deadline, non-idempotent", standin.Faults{LateAnswer: 600 * time.Millisecond}, "POST",
+		outcome{504, apierr.OutcomeUnknown, apierr.Unknown, 1}),
+	Entry("answer after the deadline, idempotent", standin.Faults{LateAnswer: 600 * time.Millisecond}, "GET",
+		outcome{504, apierr.Deadline, apierr.Unknown, 1}),
+)
+
+var _ = Describe("I6: late answers", func() {
+	It("never deliver to the next request on the way", func() {
+		w, h, _, server := twoHosts(standin.Options{})
+		server.SetFaults(func(f *standin.Faults) { f.LateAnswer = 250 * time.Millisecond })
+		w.resolution.Deadline = 100 * time.Millisecond
+		Expect(ask("POST", h.address, "/desk/first", "").status).To(Equal(504))
+		server.SetFaults(func(f *standin.Faults) { *f = standin.Faults{} })
+		w.resolution.Deadline = 5 * time.Second
+		for range 5 {
+			Expect(ask("GET", h.address, "/desk/second", "").answer().Path).To(Equal("/second"))
+		}
+	})
+})
+
+var _ = Describe("I6: cut files", func() {
+	const path = "/files/pattern?size=300000"
+	content := standin.FileContent("/files/pattern", 300000)
+
+	DescribeTable("are completed with a range",
+		func(times, budget int, headers []string, first, last int, complete bool) {
+			w, h, _, server := twoHosts(standin.Options{Faults: standin.Faults{TruncateAfter: 70000, TruncateTimes: times}})
+			w.retryBudget = budget
+			reply := ask("GET", h.address, "/desk"+path, "", headers...)
+			if !complete {
+				Expect(reply.err).To(HaveOccurred())
+				return
+			}
+			Expect(reply.err).NotTo(HaveOccurred())
+			Expect(bytes.Equal(reply.body, content[first:last])).To(BeTrue())
+			Expect(server.Runs()).To(HaveLen(times + 1))
+		},
+		Entry("cut once", 1, 10, nil, 0, 300000, true),
+		Entry("cut twice", 2, 10, nil, 0, 300000, true),
+		Entry("cut more often than may be retried", 3, 10, nil, 0, 0, false),
+		Entry("no budget", 1, 0, nil, 0, 0, false),
+		Entry("the caller asked for a range", 1, 10, []string{"Range", "bytes=1000-200999"}, 1000, 201000, true),
+	)
+
+	It("are never completed from another representation", func() {
+		calls := 0
+		h := rawHost(func(w http.ResponseWriter, _ *http.Request) {
+			calls++
+			w.Header().Set("Etag", map[bool]string{true: `"a"`, false: `"b"`}[calls == 1])
+			w.Header().Set("Content-Length", "10")
+			if calls == 1 {
+				_, _ = w.Write([]byte("abc"))
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = w.Write([]byte("0123456789"))
+		})
+		Expect(ask("GET", h.world.hosts["h1"].address, "/desk/a", "").err).To(HaveOccurred())
+		Expect(calls).To(Equal(2))
+	})
+
+	It("are not resumed by a weak entity tag", func() {
+		calls := 0
+		h := rawHost(func(w http.ResponseWriter, _ *http.Request) {
+			calls++
+			w.Header().Set("Etag", `W/"a"`)
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("abc"))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		Expect(ask("GET", h.world.hosts["h1"].address, "/desk/a", "").err).To(HaveOccurred())
+		Expect(calls).To(Equal(1))
+	})
+})
+
+var _ = It("I6: an answer whose end cannot be told is refused", func() {
+	h := rawHost(func(w http.ResponseWriter, r *http.Request) {
+		conn, buffer, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = buffer.WriteString("HTTP/1.0 200 OK\r\nAlmondrock-Request-Id: " + r.Header.Get("Almondrock-Request-Id") + "\r\n\r\npart")
+		_ = buffer.Flush()
+		conn.Close()
+	})
+	refusal := ask("POST", h.address, "/desk/a", "").refusal()
+	Expect(refusal.Code).To(Equal(apierr.BadAnswer))
+	Expect(refusal.Ran).To(Equal(apierr.Unknown))
+})
--- /dev/null
+++ b/pkg/target/attached.go
@@ -0,0 +1,239 @@
+package target
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"almondrock.example/almondrock/pkg/apierr"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// movingRetryAfter is the hint to callers when a shard is being moved; a move lasts well under a second when idle.
+const movingRetryAfter = time.Second
+
+// Attached is one target that is attached to this host. It is safe for concurrent use.
+type Attached struct {
+	manager *Manager
+	gate    Gate
+	health  health
+	granter granter
+
+	mu      sync.Mutex
+	record  *schemav1.TargetRecord
+	pool    *Pool
+	units   map[unitID]*unit
+	works   map[*Work]struct{}
+	changed chan struct{}
+	clock   clockAnchor
+	closed  bool
+}
+
+// Scope is what a request is about: its place among the shards and its deadline.
+type Scope struct {
+	Keyspace string
+	Shard    uint32
+	KeyHash  uint64
+	// Fence is the fence of the assignment by which the request came here; nil for shared services.
+	Fence *schemav1.Fence
+}
+
+// Work is one request in flight at a target.
+type Work struct {
+	attached *Attached
+	scope    Scope
+	unit     *unit
+	started  time.Duration
+	once     sync.Once
+}
+
+// Name is the target's name.
+func (a *Attached) Name() string { return a.Record().GetAnnouncement().GetTarget() }
+
+// Record is the target's record in force.
+func (a *Attached) Record() *schemav1.TargetRecord {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.record
+}
+
+// Gate is the target's admission control.
+func (a *Attached) Gate() Gate { return a.gate }
+
+// Fenced reports whether the target checks fences.
+func (a *Attached) Fenced() bool { return a.Record().GetAnnouncement().GetCapabilities().GetFence() }
+
+// DeadlineAt returns the time left as a point in the target's own clock, in milliseconds. It reports false when the
+// target offers no clock. The point is never late: see clockAnchor.
+func (a *Attached) DeadlineAt(left time.Duration) (uint64, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.clock.at(a.manager.options.Clock(), left)
+}
+
+// Begin registers a request in flight for its shard or hot key. It refuses, always not-run, when the target does not
+// own the shard under the given fence, the shard is being moved away, or the target is lost. Every Begin needs an End.
+func (a *Attached) Begin(scope Scope) (*Work, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || a.health.isUnreachable() {
+		return nil, apierr.New(apierr.OwnerUnreachable, "the target is not attached here")
+	}
+	work := &Work{attached: a, scope: scope, started: a.manager.options.Clock()}
+	if scope.Fence != nil {
+		unit, err := a.usable(scope)
+		if err != nil {
+			return nil, err
+		}
+		work.unit = unit
+	}
+	a.works[work] = struct{}{}
+	a.health.begin(work.started)
+	return work, nil
+}
+
+// usable returns the unit that covers scope, the hot key first.
+func (a *Attached) usable(scope Scope) (*unit, error) {
+	u, ok := a.units[unitID{keyspace: scope.Keyspace, hot: true, keyHash: scope.KeyHash}]
+	if !ok {
+		u, ok = a.units[unitID{keyspace: scope.Keyspace, shard: scope.Shard}]
+	}
+	if !ok || u.state != unitGranted || CompareFences(u.record.GetFence(), scope.Fence) != 0 {
+		return nil, apierr.Wrap(&apierr.Refusal{
+			Code: apierr.Moving, Ran: apierr.NotRun, Message: "the shard is changing its owner", RetryAfter: movingRetryAfter,
+		})
+	}
+	return u, nil
+}
+
+// Check fails when the request must not be written any more: the shard is no longer owned under its fence.
+func (w *Work) Check() error {
+	a := w.attached
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return apierr.New(apierr.OwnerUnreachable, "the target is not attached here any more")
+	}
+	if w.scope.Fence == nil {
+		return nil
+	}
+	_, err := a.usable(w.scope)
+	return err
+}
+
+// ShardHeader is the value of Almondrock-Shard; empty for shared services.
+func (w *Work) ShardHeader() string {
+	if w.unit == nil {
+		return ""
+	}
+	return w.unit.shardText
+}
+
+// FenceHeader is the value of Almondrock-Fence; empty for shared services.
+func (w *Work) FenceHeader() string {
+	if w.unit == nil {
+		return ""
+	}
+	return w.unit.fenceText
+}
+
+// End takes the request out of the counts; calls after the first do nothing.
+func (w *Work) End() {
+	w.once.Do(func() {
+		a := w.attached
+		now := a.manager.options.Clock()
+		a.health.end(now, now-w.started, keyID{keyspace: w.scope.Keyspace, hash: w.scope.KeyHash})
+		a.mu.Lock()
+		delete(a.works, w)
+		a.notify()
+		a.mu.Unlock()
+	})
+}
+
+// notify wakes drains. It needs the lock.
+func (a *Attached) notify() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Send sends request to the target once; the request's URL needs only path and query. The guard runs immediately
+// before the first byte is written. Send fails with *SendError.
+func (a *Attached) Send(request *http.Request, guard func() error) (*Exchange, error) {
+	started := a.manager.options.Clock()
+	exchange, err := a.send(request, guard)
+	if err == nil {
+		now := a.manager.options.Clock()
+		a.health.answered(now, now-started)
+	}
+	return exchange, err
+}
+
+// send does not count the answer's latency, which is of no interest for grants.
+func (a *Attached) send(request *http.Request, guard func() error) (*Exchange, error) {
+	a.mu.Lock()
+	pool, address := a.pool, a.record.GetAnnouncement().GetAddress()
+	a.mu.Unlock()
+	request.URL.Scheme, request.URL.Host = "http", address
+	started := a.manager.options.Clock()
+	exchange, err := pool.Send(request, guard)
+	now := a.manager.options.Clock()
+	if err != nil {
+		a.health.failed(err, now-started)
+		return nil, err
+	}
+	a.health.answered(now, 0)
+	return exchange, nil
+}
+
+// probe tries a connect to a target that gets no grants and was not heard of for a while.
+func (a *Attached) probe() {
+	if a.Fenced() || !a.health.startProbe(a.manager.options.Clock()) {
+		return
+	}
+	address := a.Record().GetAnnouncement().GetAddress()
+	a.manager.background(func(ctx context.Context) {
+		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+		if err == nil {
+			conn.Close()
+		}
+		a.health.endProbe(a.manager.options.Clock(), err)
+	})
+}
+
+// InFlight returns the number of requests in flight for a shard.
+func (a *Attached) InFlight(keyspace string, shard uint32) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	count := 0
+	for work := range a.works {
+		if work.scope.Keyspace == keyspace && work.scope.Shard == shard {
+			count++
+		}
+	}
+	return count
+}
+
+// clockAnchor is a reading of the target's clock. The reading was taken before the answer that carried it arrived, so
+// the target's clock is at or ahead of the estimate and deadlines computed from it are early, never late.
+type clockAnchor struct {
+	known   bool
+	reading uint64
+	arrived time.Duration
+}
+
+// rateMargin allows for a target clock that runs fast against this host's.
+const rateMargin = 0.01
+
+func (c *clockAnchor) set(reading uint64, arrived time.Duration) {
+	*c = clockAnchor{known: reading > 0, reading: reading, arrived: arrived}
+}
+
+func (c *clockAnchor) at(now, left time.Duration) (uint64, bool) {
+	if !c.known || left <= 0 {
+		return 0, false
+	}
+	elapsed := time.Duration(float64(now-c.arrived) * (1 - rateMargin))
+	return c.reading + uint64((elapsed + left).Milliseconds()), true
+}
--- /dev/null
+++ b/pkg/target/manager.go
@@ -0,0 +1,239 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"almondrock.example/almondrock/pkg/lease"
+	"almondrock.example/almondrock/pkg/metrics"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// ManagerOptions configure a Manager.
+type ManagerOptions struct {
+	// Host is the name of this host.
+	Host  string
+	Clock lease.Clock
+	// Lease is what is left of this host's lease; zero or less when it is over.
+	Lease func() time.Duration
+	// NewGate makes the admission control of a target.
+	NewGate func(record *schemav1.TargetRecord) Gate
+	// Released is called when a moving shard is stopped, drained and revoked. It is called again on each Renew until
+	// the table shows the move as finished, so a lost call does no harm.
+	Released func(target string, shard *schemav1.ShardRecord)
+	// Scope takes the metrics; none when nil.
+	Scope tally.Scope
+}
+
+// Manager holds the targets attached to this host. It is safe for concurrent use.
+type Manager struct {
+	options ManagerOptions
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+	// starting orders new tasks before the wait in Close.
+	starting sync.Mutex
+
+	mu       sync.RWMutex
+	closed   bool
+	attached map[string]*Attached
+}
+
+// NewManager returns a manager without targets.
+func NewManager(options ManagerOptions) *Manager {
+	if options.Scope == nil {
+		options.Scope = tally.NoopScope
+	}
+	if options.Released == nil {
+		options.Released = func(string, *schemav1.ShardRecord) {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Manager{options: options, ctx: ctx, cancel: cancel, attached: map[string]*Attached{}}
+}
+
+// background runs task until it ends or the manager closes.
+func (m *Manager) background(task func(ctx context.Context)) {
+	m.starting.Lock()
+	defer m.starting.Unlock()
+	if m.ctx.Err() != nil {
+		return
+	}
+	m.tasks.Go(func() { task(m.ctx) })
+}
+
+func (m *Manager) lease() time.Duration { return m.options.Lease() }
+
+// Sync brings the attached targets in line with the table: records are those attached to this host, shards returns the
+// shards of a target. New shards are granted and moving ones stopped before Sync returns; requests to targets go on in
+// the background.
+func (m *Manager) Sync(_ context.Context, records []*schemav1.TargetRecord, shards func(target string) []*schemav1.ShardRecord) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return
+	}
+	seen := make(map[string]bool, len(records))
+	for _, record := range records {
+		name := record.GetAnnouncement().GetTarget()
+		if record.GetLost() {
+			continue
+		}
+		seen[name] = true
+		a := m.ensure(name, record)
+		a.setShards(shards(name))
+		a.renewGrants()
+	}
+	for name, a := range m.attached {
+		if !seen[name] {
+			a.close()
+			delete(m.attached, name)
+		}
+	}
+}
+
+// ensure returns the attached target for record. A new attachment or boot of a target that was unreachable starts
+// afresh, because the old one must never send again.
+func (m *Manager) ensure(name string, record *schemav1.TargetRecord) *Attached {
+	a, ok := m.attached[name]
+	if ok && a.renewable(record) {
+		a.update(record)
+		return a
+	}
+	if ok {
+		a.close()
+	}
+	announcement := record.GetAnnouncement()
+	a = &Attached{
+		manager: m, gate: m.options.NewGate(record), record: record, pool: newTargetPool(announcement),
+		units: map[unitID]*unit{}, works: map[*Work]struct{}{}, changed: make(chan struct{}),
+	}
+	now := m.options.Clock()
+	a.health.changed, a.health.reported = now, now
+	a.clock.set(announcement.GetClockMs(), now)
+	m.attached[name] = a
+	pool := a.pool
+	m.background(func(ctx context.Context) { pool.Warm(ctx, announcement.GetAddress(), warmConnections(announcement)) })
+	return a
+}
+
+// warmConnections leaves one connection to the first grant.
+func warmConnections(announcement *schemav1.Announcement) int {
+	return int(min(announcement.GetSlots(), max(1, announcement.GetMaxConnections())-1))
+}
+
+func newTargetPool(announcement *schemav1.Announcement) *Pool {
+	return NewPool(PoolOptions{
+		MaxConnections: int(max(1, announcement.GetMaxConnections())),
+		// One idle connection more than slots carries grants.
+		MaxIdle: int(announcement.GetSlots()) + 1,
+	})
+}
+
+// renewable reports whether the same Attached serves record.
+func (a *Attached) renewable(record *schemav1.TargetRecord) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old, next := a.record.GetAnnouncement(), record.GetAnnouncement()
+	return a.record.GetAttachment() == record.GetAttachment() && old.GetAddress() == next.GetAddress() &&
+		old.GetMaxConnections() == next.GetMaxConnections() && proto.Equal(old.GetCapabilities(), next.GetCapabilities()) &&
+		(old.GetBootId() == next.GetBootId() || !a.health.isUnreachable())
+}
+
+func (a *Attached) update(record *schemav1.TargetRecord) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old, next := a.record.GetAnnouncement(), record.GetAnnouncement()
+	a.record = record
+	if old.GetBootId() == next.GetBootId() && old.GetSlots() == next.GetSlots() {
+		return
+	}
+	a.gate.Boot(next.GetBootId(), next.GetSlots())
+	if old.GetBootId() != next.GetBootId() {
+		a.clock.set(next.GetClockMs(), a.manager.options.Clock())
+		a.forgetGrants()
+	}
+}
+
+// forgetGrants makes all granted units wait for a new grant, as a restarted target holds none. It needs the lock.
+func (a *Attached) forgetGrants() {
+	if !a.record.GetAnnouncement().GetCapabilities().GetFence() {
+		return
+	}
+	for _, u := range a.units {
+		if u.state == unitGranted {
+			u.state = unitPending
+		}
+	}
+}
+
+func (a *Attached) close() {
+	a.mu.Lock()
+	a.closed = true
+	a.notify()
+	pool := a.pool
+	a.mu.Unlock()
+	pool.Close()
+}
+
+// Attached returns the target with the given name if it is attached to this host.
+func (m *Manager) Attached(target string) (*Attached, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	a, ok := m.attached[target]
+	return a, ok
+}
+
+func (m *Manager) all() []*Attached {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := make([]*Attached, 0, len(m.attached))
+	for _, a := range m.attached {
+		all = append(all, a)
+	}
+	return all
+}
+
+// Renew renews the grants of all targets. The host calls it after each renewal of its lease.
+func (m *Manager) Renew() {
+	for _, a := range m.all() {
+		a.renewGrants()
+		a.probe()
+		for _, record := range a.pendingReleases() {
+			m.options.Released(a.Name(), record)
+		}
+	}
+}
+
+// Reports returns what was seen of each target since the last call, for the next renewal of the host's lease. A target
+// that was reported as unreachable gets no more grants or work until it is attached again.
+func (m *Manager) Reports() []*schemav1.TargetReport {
+	now := m.options.Clock()
+	var reports []*schemav1.TargetReport
+	for _, a := range m.all() {
+		announcement := a.Record().GetAnnouncement()
+		report := &schemav1.TargetReport{Target: announcement.GetTarget(), BootId: announcement.GetBootId()}
+		a.health.report(now, announcement.GetSlots(), report)
+		reports = append(reports, report)
+		m.options.Scope.Tagged(map[string]string{metrics.TagTarget: report.GetTarget()}).
+			Gauge(metrics.ConnectionsToTarget).Update(float64(a.pool.Open()))
+	}
+	return reports
+}
+
+// Close stops all targets and waits for what runs in the background.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	m.closed = true
+	for _, a := range m.attached {
+		a.close()
+	}
+	m.mu.Unlock()
+	m.starting.Lock()
+	m.cancel()
+	m.starting.Unlock()
+	m.tasks.Wait()
+}
--- /dev/null
+++ b/pkg/target/pool.go
@@ -0,0 +1,157 @@
+package target
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Bounds of connections. A new connection costs about 1 ms, so idle ones are kept; targets are on the local network,
+// so a connect that takes longer than dialTimeout has failed.
+const (
+	dialTimeout = 250 * time.Millisecond
+	idleTimeout = 90 * time.Second
+	// spareAge bounds how long a connection that was opened ahead may wait: nothing watches it for a close by the peer.
+	spareAge = 5 * time.Second
+	// maxResponseHeader bounds the header block of an answer.
+	maxResponseHeader = 64 << 10
+	bufferSize        = 16 << 10
+)
+
+// PoolOptions configure a Pool.
+type PoolOptions struct {
+	// MaxConnections limits connections per address; no limit when 0.
+	MaxConnections int
+	// MaxIdle limits idle connections per address.
+	MaxIdle int
+}
+
+// Pool is a pool of HTTP/1.1 connections that knows of every request whether a byte of it was written. It is safe for
+// concurrent use.
+type Pool struct {
+	transport *http.Transport
+	dialer    net.Dialer
+	open      atomic.Int64
+
+	mu     sync.Mutex
+	spares []spare
+}
+
+type spare struct {
+	address string
+	conn    net.Conn
+	opened  time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool(options PoolOptions) *Pool {
+	p := &Pool{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}}
+	p.transport = &http.Transport{
+		DialContext:            p.dial,
+		MaxConnsPerHost:        options.MaxConnections,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    options.MaxIdle,
+		IdleConnTimeout:        idleTimeout,
+		ExpectContinueTimeout:  time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeader,
+		WriteBufferSize:        bufferSize,
+		ReadBufferSize:         bufferSize,
+	}
+	return p
+}
+
+func (p *Pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if conn := p.takeSpare(address); conn != nil {
+		return conn, nil
+	}
+	conn, err := p.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	p.open.Add(1)
+	return &guardedConn{Conn: conn, closed: func() { p.open.Add(-1) }}, nil
+}
+
+// Warm opens count connections to address ahead of the first requests.
+func (p *Pool) Warm(ctx context.Context, address string, count int) {
+	for range count {
+		conn, err := p.dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return
+		}
+		p.open.Add(1)
+		guarded := &guardedConn{Conn: conn, closed: func() { p.open.Add(-1) }}
+		p.mu.Lock()
+		p.spares = append(p.spares, spare{address: address, conn: guarded, opened: time.Now()})
+		p.mu.Unlock()
+	}
+}
+
+func (p *Pool) takeSpare(address string) net.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.spares) > 0 {
+		last := p.spares[len(p.spares)-1]
+		p.spares = p.spares[:len(p.spares)-1]
+		if last.address == address && time.Since(last.opened) < spareAge {
+			return last.conn
+		}
+		last.conn.Close()
+	}
+	return nil
+}
+
+// Open is the number of open connections.
+func (p *Pool) Open() int { return int(p.open.Load()) }
+
+// Close closes idle connections; those in use close after their answer.
+func (p *Pool) Close() {
+	p.transport.CloseIdleConnections()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, spare := range p.spares {
+		spare.conn.Close()
+	}
+	p.spares = nil
+}
+
+// Exchange is an answer together with the connection that carries it.
+type Exchange struct {
+	Response *http.Response
+	conn     *guardedConn
+}
+
+// Discard closes the connection, so that nothing of the answer or after it is read.
+func (e *Exchange) Discard() {
+	if e.conn != nil {
+		e.conn.Close()
+	}
+	e.Response.Body.Close()
+}
+
+// Send sends request once. The guard runs immediately before the first byte is written; its error stops the request.
+// Send fails with *SendError.
+func (p *Pool) Send(request *http.Request, guard func() error) (*Exchange, error) {
+	current := &attempt{guard: guard}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { current.take(info.Conn) }}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	response, err := p.transport.RoundTrip(request) //nolint:bodyclose // the caller closes it with the Exchange
+	conn, wrote, denied := current.state()
+	if err != nil {
+		if denied != nil {
+			return nil, merry.Wrap(&SendError{Denied: true, Cause: denied})
+		}
+		if wrote && conn != nil {
+			conn.Close()
+		}
+		return nil, merry.Wrap(&SendError{Wrote: wrote, Cause: err})
+	}
+	return &Exchange{Response: response, conn: conn}, nil
+}
