--- a/pkg/host/errors.go
+++ b/pkg/host/errors.go
@@ -48,6 +48,8 @@
 	ErrNotLeader = merry.Sentinel("no leader is known")
 	// ErrNoGroup is returned while this host takes part in no data centre group.
 	ErrNoGroup = merry.Sentinel("this host is not yet a member of its data centre group")
+	// ErrNotBegun is returned for a record that this host did not begin.
+	ErrNotBegun = merry.Sentinel("this host did not begin the record")
 	// ErrNotControl is returned by hosts that are no members of the control group.
 	ErrNotControl = merry.Sentinel("this host is no member of the control group")
 )
--- a/pkg/host/group.go
+++ b/pkg/host/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -33,6 +34,10 @@
 	table      *ownership.Table
 	replica    *replication.Replica
 
+	// synced is the log index up to which the attached targets follow the table. Lease renewals report it: a host that
+	// has applied the loss of an attachment, but still sends, must not count as stopped.
+	synced atomic.Uint64
+
 	mu     sync.Mutex
 	driver *ownership.Driver
 	term   uint64
--- a/pkg/host/loops.go
+++ b/pkg/host/loops.go
@@ -43,7 +43,7 @@
 		Host:       h.settings.GetName(),
 		Identity:   h.identity,
 		Generation: g.table.Generation(),
-		Applied:    g.table.Applied(),
+		Applied:    g.synced.Load(),
 		Targets:    h.manager.Reports(),
 		Draining:   h.draining.Load(),
 	}
@@ -101,6 +101,8 @@
 }
 
 func (h *Host) sync(ctx context.Context, g *group) {
+	// Read first: what the manager has been told of may be newer than this index, never older.
+	applied := g.table.Applied()
 	h.views.offer(g.table.ControlView())
 	var mine []*schemav1.TargetRecord
 	for _, record := range g.table.TargetsAttachedTo(h.settings.GetName()) {
@@ -110,6 +112,7 @@
 		}
 	}
 	h.manager.Sync(ctx, mine, g.table.ShardsOf)
+	g.synced.Store(applied)
 	h.gauges(g, len(mine))
 }
 
--- a/pkg/host/records.go
+++ b/pkg/host/records.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"almondrock.example/almondrock/pkg/apierr"
@@ -15,10 +17,13 @@
 // records implements proxy.Records over the log of the data centre group.
 type records struct {
 	host *Host
+	// attempts holds the attempt numbers of records that this host began and has not finished.
+	attempts *sync.Map
 }
 
 // Begin implements proxy.Records.
 func (r records) Begin(ctx context.Context, record *schemav1.IdempotencyRecord) (*schemav1.IdempotencyRecord, bool, error) {
+	record.Attempt = rand.Uint64() //nolint:gosec // it only has to differ between attempts
 	command := &schemav1.GroupCommand{Command: &schemav1.GroupCommand_BeginRecord{BeginRecord: &schemav1.BeginRecord{Record: record}}}
 	result, err := r.host.proposeToLeader(ctx, command)
 	if err != nil {
@@ -30,13 +35,20 @@
 			Message: "the store of idempotency records is full",
 		})
 	}
+	if result.GetBegun() {
+		r.attempts.Store(string(record.GetId()), record.GetAttempt())
+	}
 	return result.GetRecord(), result.GetBegun(), nil
 }
 
 // Finish implements proxy.Records.
 func (r records) Finish(ctx context.Context, id []byte, state schemav1.RecordState, answer *schemav1.StoredAnswer) error {
+	attempt, ok := r.attempts.LoadAndDelete(string(id))
+	if !ok {
+		return ErrNotBegun.Here()
+	}
 	_, err := r.host.proposeToLeader(ctx, &schemav1.GroupCommand{Command: &schemav1.GroupCommand_FinishRecord{
-		FinishRecord: &schemav1.FinishRecord{Id: id, State: state, Answer: answer},
+		FinishRecord: &schemav1.FinishRecord{Id: id, State: state, Answer: answer, Attempt: attempt.(uint64)},
 	}})
 	return err
 }
