--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -33,7 +33,6 @@
 	c.checkServices()
 	c.checkAllow()
 	c.checkCommonRegions()
-	c.siteFields(configuration.GetLimits(), "limits", nil)
 }
 
 func (c *checker) add(path, rule, suggestion, format string, args ...any) {
@@ -56,7 +55,7 @@
 func (c *checker) requiredList(length int, path, suggestion string) {
 	if length == 0 {
 		c.required(true, path, suggestion)
-		if c.isSet(path) && !c.problems.hasAt(c.places[path].line, c.places[path].order) {
+		if c.isSet(path) && !c.places[path].refused {
 			c.add(path, RuleMissing, suggestion, "%s is empty", path)
 		}
 	}
@@ -87,7 +86,7 @@
 }
 
 func (c *checker) emptyName(path string) {
-	if c.isSet(path) && !c.problems.hasAt(c.places[path].line, c.places[path].order) {
+	if c.isSet(path) && !c.places[path].refused {
 		c.add(path, RuleBadName, "use 1 to 63 of a-z, 0-9 and -, not - at the ends", "%s can't be empty", path)
 	}
 }
@@ -109,18 +108,19 @@
 func (c *checker) checkDataCentres() {
 	c.requiredList(len(c.configuration.GetDataCentres()), "data_centres", "list at least one data centre")
 	c.names("data_centres", dataCentreNames(c.configuration))
-	used := map[string]bool{}
+	used, complete := map[string]bool{}, true
 	for i, site := range c.configuration.GetDataCentres() {
 		path := fmt.Sprintf("data_centres[%d]", i)
 		c.required(site.GetRegion() == "", path+".region", "write region: NAME")
-		if c.isSet(path+".region") || site.GetRegion() != "" {
+		if site.GetRegion() != "" || (c.isSet(path+".region") && !c.places[path+".region"].refused) {
 			c.region(site.GetRegion(), path+".region")
 		}
 		used[site.GetRegion()] = true
+		complete = complete && c.regions[site.GetRegion()]
 		c.siteFields(site.GetLimits(), path+".limits", siteLimits)
 	}
 	for i, region := range c.configuration.GetRegions() {
-		if region.GetName() != "" && !used[region.GetName()] {
+		if complete && region.GetName() != "" && !used[region.GetName()] {
 			c.add(fmt.Sprintf("regions[%d].name", i), RuleEmptyRegion, "add a data centre to the region or remove the region",
 				"region %s has no data centre", quote(region.GetName()))
 		}
@@ -128,9 +128,6 @@
 }
 
 func (c *checker) region(name, path string) {
-	if name == "" && c.problems.hasAt(c.places.near(path).line, c.places.near(path).order) {
-		return
-	}
 	if !c.regions[name] {
 		known := make([]string, 0, len(c.configuration.GetRegions()))
 		for _, region := range c.configuration.GetRegions() {
@@ -150,7 +147,7 @@
 		}
 		seen[name] = true
 	}
-	if len(names) == 0 && c.isSet(path) && !c.problems.hasAt(c.places[path].line, c.places[path].order) {
+	if len(names) == 0 && c.isSet(path) && !c.places[path].refused {
 		c.add(path, RuleMissing, "leave the field out to allow all regions", "%s is empty", path)
 	}
 }
@@ -196,9 +193,9 @@
 	}
 }
 
-// siteFields refuses limits that have no effect where they stand. A nil set allows all.
+// siteFields refuses limits that have no effect where they stand.
 func (c *checker) siteFields(limits *schemav1.Limits, path string, allowed map[protoreflect.Name]bool) {
-	if limits == nil || allowed == nil {
+	if limits == nil {
 		return
 	}
 	fields := limits.ProtoReflect().Descriptor().Fields()
--- a/pkg/config/check_services.go
+++ b/pkg/config/check_services.go
@@ -63,12 +63,11 @@
 }
 
 func (c *checker) checkRoute(service *schemav1.Service, route *schemav1.Route, path string) {
-	prefix := route.GetPathPrefix()
-	c.required(prefix == "", path+".path_prefix", "write path_prefix: /PATH")
-	if reason := pathFault(prefix); reason != "" && (prefix != "" || c.isSet(path+".path_prefix")) {
-		if !c.problems.hasAt(c.places.near(path+".path_prefix").line, c.places.near(path+".path_prefix").order) || prefix != "" {
-			c.add(path+".path_prefix", RuleBadPath, "write a path such as /bookings", "%s.path_prefix %s %s", path, quote(prefix), reason)
-		}
+	prefix, prefixPath := route.GetPathPrefix(), path+".path_prefix"
+	c.required(prefix == "", prefixPath, "write path_prefix: /PATH")
+	isStated := prefix != "" || (c.isSet(prefixPath) && !c.places[prefixPath].refused)
+	if reason := pathFault(prefix); isStated && reason != "" {
+		c.add(prefixPath, RuleBadPath, "write a path such as /bookings", "%s %s %s", prefixPath, quote(prefix), reason)
 	}
 	c.required(route.GetClass() == schemav1.RequestClass_REQUEST_CLASS_UNSPECIFIED, path+".class",
 		"write class: interactive, booking or file")
--- a/pkg/config/compile.go
+++ b/pkg/config/compile.go
@@ -84,6 +84,7 @@
 		return nil, merry.Wrap(&InvalidError{Problems: found})
 	}
 	owned := proto.CloneOf(configuration)
+	fillDefaults(owned)
 	snapshot := &Snapshot{
 		configuration: owned,
 		services:      map[string]*compiledService{}, tenants: map[string]compiledTenant{},
@@ -102,6 +103,23 @@
 	return snapshot, nil
 }
 
+// fillDefaults states the defaults that matter for comparing revisions and for keyspaces.
+func fillDefaults(configuration *schemav1.Configuration) {
+	for _, tenant := range configuration.GetTenants() {
+		if tenant.GetWeight() == 0 {
+			tenant.Weight = defaultTenantWeight
+		}
+	}
+	for _, service := range configuration.GetServices() {
+		if service.GetShards() == 0 {
+			service.Shards = keyspace.DefaultShards
+		}
+		if service.GetOnPartition() == schemav1.PartitionPolicy_PARTITION_POLICY_UNSPECIFIED {
+			service.OnPartition = schemav1.PartitionPolicy_PARTITION_POLICY_HOLD
+		}
+	}
+}
+
 // checkBounds refuses numbers that the files could not state.
 func checkBounds(message protoreflect.Message, path string, problems *report) {
 	message.Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
@@ -129,9 +147,6 @@
 	index := map[string]int{"": regionsOfDefaultTenantID}
 	s.tenants[defaultTenantName] = compiledTenant{tenant: &schemav1.Tenant{Weight: defaultTenantWeight}}
 	for _, tenant := range s.configuration.GetTenants() {
-		if tenant.GetWeight() == 0 {
-			tenant.Weight = defaultTenantWeight
-		}
 		regions, _ := intersect(tenant.GetHomeRegions(), nil)
 		id := strings.Join(regions, "+")
 		if _, known := index[id]; !known {
@@ -144,9 +159,6 @@
 }
 
 func (s *Snapshot) compileService(service *schemav1.Service, sets [][]string) {
-	if service.GetShards() == 0 {
-		service.Shards = keyspace.DefaultShards
-	}
 	compiled := &compiledService{service: service, routes: map[string]*compiledRoute{}}
 	seen := map[string]bool{}
 	for _, route := range service.GetRoutes() {
--- a/pkg/config/danger.go
+++ b/pkg/config/danger.go
@@ -1,7 +1,10 @@
 package config
 
 import (
+	"fmt"
 	"slices"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
 // Danger is the stable name of a dangerous change.
@@ -30,13 +33,13 @@
 
 // allowable maps each danger that can be allowed to what it does.
 var allowable = map[Danger]string{
-	DangerLastDataCentre:   "no data centre of a home region is left in service, so its keys are refused",
-	DangerAllOut:           "no data centre is left in service, so all requests are refused",
-	DangerDataCentreLost:   "the data centre's keys get new owners without waiting for the old ones",
-	DangerRemoveDataCentre: "a data centre that is in service disappears",
-	DangerRemoveRegion:     "a region disappears",
-	DangerRemoveService:    "a service disappears, so its requests are refused",
-	DangerShards:           "all keys of the service are assigned anew",
+	DangerLastDataCentre:   "requests for its keys are refused",
+	DangerAllOut:           "all requests are refused",
+	DangerDataCentreLost:   "its keys get new owners without waiting for the old ones",
+	DangerRemoveDataCentre: "take it out first",
+	DangerRemoveRegion:     "no keys can be kept there",
+	DangerRemoveService:    "its requests are refused",
+	DangerShards:           "all its keys are assigned anew",
 }
 
 func allowNames() []string {
@@ -47,3 +50,174 @@
 	slices.Sort(names)
 	return names
 }
+
+// Finding is one dangerous part of a change.
+type Finding struct {
+	Danger Danger
+	// Path is the field of the new configuration where the danger lies.
+	Path string
+	// Message says what changes.
+	Message string
+	// Allowed is set when the new configuration allows the danger by name.
+	Allowed bool
+}
+
+// problem tells why the finding refuses the change.
+func (f Finding) problem(at position) (position, string, string, string) {
+	if effect, can := allowable[f.Danger]; can {
+		return at, RuleDangerousChange, "write allow: [" + string(f.Danger) + "] if this is intended", f.Message + ": " + effect
+	}
+	return at, RuleForbiddenChange, forbidden[f.Danger], f.Message + ": the keys would have two owners or leave their home regions while the change spreads"
+}
+
+// forbidden maps each danger that can't be allowed to what to do instead.
+var forbidden = map[Danger]string{
+	DangerTenantRegions:    "remove the tenant, and add it with its new home regions 60 s later",
+	DangerServiceRegions:   "add a service with another name, or remove this one first",
+	DangerRouteRegions:     "add a route with another path_prefix, or remove this one first",
+	DangerServiceKind:      "add a service with another name, or remove this one first",
+	DangerDataCentreRegion: "add a data centre with another name",
+}
+
+// CheckChange returns the dangers of a change from old that the loaded files don't allow, with their places. An old
+// configuration of nil, before the first revision, has no dangers. It returns Problems if the files have any.
+func (l *Loaded) CheckChange(old *schemav1.Configuration) []*schemav1.Problem {
+	if l.Configuration == nil {
+		return l.Problems
+	}
+	problems := &report{}
+	for _, finding := range Dangers(old, l.Configuration) {
+		if !finding.Allowed {
+			at, rule, suggestion, message := finding.problem(l.places.near(finding.Path))
+			problems.add(at, rule, suggestion, "%s", message)
+		}
+	}
+	return problems.sorted()
+}
+
+// Dangers returns the dangerous parts of a change, in a fixed order.
+func Dangers(old, next *schemav1.Configuration) []Finding {
+	if old == nil || next == nil {
+		return nil
+	}
+	c := &change{old: old, next: next}
+	c.sites()
+	c.regions()
+	c.tenants()
+	c.services()
+	for i := range c.findings {
+		_, can := allowable[c.findings[i].Danger]
+		c.findings[i].Allowed = can && slices.Contains(next.GetAllow(), string(c.findings[i].Danger))
+	}
+	return c.findings
+}
+
+// change compares two configurations.
+type change struct {
+	old, next *schemav1.Configuration
+	findings  []Finding
+}
+
+func (c *change) add(danger Danger, path, format string, args ...any) {
+	c.findings = append(c.findings, Finding{Danger: danger, Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+type named interface{ GetName() string }
+
+// byName returns the element with the name and its index, or the zero element and -1.
+func byName[T named](list []T, name string) (T, int) {
+	for i, element := range list {
+		if element.GetName() == name {
+			return element, i
+		}
+	}
+	var none T
+	return none, -1
+}
+
+func isInService(site *schemav1.DataCentre) bool {
+	return site != nil && !site.GetOut() && !site.GetLost()
+}
+
+func (c *change) sites() {
+	inService := 0
+	for i, site := range c.next.GetDataCentres() {
+		path := fmt.Sprintf("data_centres[%d]", i)
+		if isInService(site) {
+			inService++
+		}
+		before, at := byName(c.old.GetDataCentres(), site.GetName())
+		if at >= 0 && before.GetRegion() != site.GetRegion() {
+			c.add(DangerDataCentreRegion, path+".region", "data centre %s moves to region %s", site.GetName(), site.GetRegion())
+		}
+		if at >= 0 && site.GetLost() && !before.GetLost() {
+			c.add(DangerDataCentreLost, path+".lost", "data centre %s is declared lost", site.GetName())
+		}
+	}
+	for _, site := range c.old.GetDataCentres() {
+		if _, at := byName(c.next.GetDataCentres(), site.GetName()); at < 0 && isInService(site) {
+			c.add(DangerRemoveDataCentre, "data_centres", "data centre %s is removed while in service", site.GetName())
+		}
+	}
+	if inService == 0 && len(sitesInService(c.old, "")) > 0 {
+		c.add(DangerAllOut, "data_centres", "all data centres are out")
+	}
+}
+
+// sitesInService returns the data centres of a region, or of all regions for "".
+func sitesInService(configuration *schemav1.Configuration, region string) []*schemav1.DataCentre {
+	var sites []*schemav1.DataCentre
+	for _, site := range configuration.GetDataCentres() {
+		if isInService(site) && (region == "" || site.GetRegion() == region) {
+			sites = append(sites, site)
+		}
+	}
+	return sites
+}
+
+func (c *change) regions() {
+	homes := homeRegionsInUse(c.next)
+	for _, region := range c.old.GetRegions() {
+		name := region.GetName()
+		if _, at := byName(c.next.GetRegions(), name); at < 0 {
+			c.add(DangerRemoveRegion, "regions", "region %s is removed", name)
+			continue
+		}
+		before := sitesInService(c.old, name)
+		if homes[name] && len(before) > 0 && len(sitesInService(c.next, name)) == 0 {
+			c.add(DangerLastDataCentre, c.lastSitePath(before), "home region %s has no data centre left in service", name)
+		}
+	}
+}
+
+// lastSitePath is the field that takes the first of the sites out.
+func (c *change) lastSitePath(before []*schemav1.DataCentre) string {
+	for _, site := range before {
+		if after, at := byName(c.next.GetDataCentres(), site.GetName()); at >= 0 {
+			if after.GetLost() {
+				return fmt.Sprintf("data_centres[%d].lost", at)
+			}
+			return fmt.Sprintf("data_centres[%d].out", at)
+		}
+	}
+	return "data_centres"
+}
+
+func homeRegionsInUse(configuration *schemav1.Configuration) map[string]bool {
+	used := map[string]bool{}
+	add := func(names []string) {
+		for _, name := range names {
+			used[name] = true
+		}
+	}
+	for _, tenant := range configuration.GetTenants() {
+		add(tenant.GetHomeRegions())
+	}
+	for _, service := range configuration.GetServices() {
+		add(service.GetHomeRegions())
+		for _, route := range service.GetRoutes() {
+			add(route.GetHomeRegions())
+		}
+	}
+	return used
+}
--- a/pkg/config/decode.go
+++ b/pkg/config/decode.go
@@ -27,17 +27,17 @@
 		places: positions{}, problems: problems,
 	}
 	d.places[""] = d.start
-	if root := parse(file, order, problems); root != nil {
-		d.message(root, message.ProtoReflect(), "")
+	root := parse(file, order, problems)
+	if root == nil {
+		d.refuse("")
+		return d.places
 	}
+	d.message(root, message.ProtoReflect(), "")
 	return d.places
 }
 
 func (d *decoder) at(node ast.Node) position {
-	if mapping, ok := node.(*ast.MappingNode); ok && len(mapping.Values) > 0 {
-		node = mapping.Values[0].Key
-	}
-	return d.start.of(node.GetToken())
+	return d.start.ofNode(node)
 }
 
 // message fills target from a mapping; path is the target's path, empty for the root.
@@ -45,6 +45,7 @@
 	mapping, ok := entries(node)
 	if !ok {
 		d.wrongType(node, path, "a mapping of fields")
+		d.refuse(path)
 		return
 	}
 	seen := map[string]int{}
@@ -67,7 +68,7 @@
 	at := d.at(entry.Key)
 	field := target.Descriptor().Fields().ByName(protoreflect.Name(name))
 	if field == nil || field.FullName() == revisionField {
-		d.unknownField(at, name, entry.Value, target.Descriptor())
+		d.unknownField(at, name, entry.Value, target.Descriptor(), path)
 		return
 	}
 	fieldPath := join(path, name)
@@ -82,13 +83,23 @@
 	}
 	if value, ok := d.scalar(unwrap(entry.Value), field, fieldPath); ok {
 		target.Set(field, value)
+	} else {
+		d.refuse(fieldPath)
 	}
 }
 
+// refuse marks a field whose value was reported, so that the checks don't report it as missing.
+func (d *decoder) refuse(path string) {
+	at := d.places[path]
+	at.refused = true
+	d.places[path] = at
+}
+
 func (d *decoder) list(node ast.Node, field protoreflect.FieldDescriptor, list protoreflect.List, path string) {
 	sequence, ok := unwrap(node).(*ast.SequenceNode)
 	if !ok {
 		d.wrongType(node, path, "a list")
+		d.refuse(path)
 		return
 	}
 	for _, item := range sequence.Values {
@@ -102,6 +113,8 @@
 		}
 		if value, ok := d.scalar(unwrap(item), field, itemPath); ok {
 			list.Append(value)
+		} else {
+			d.refuse(path)
 		}
 	}
 }
@@ -119,10 +132,18 @@
 	}
 }
 
+// refuseMeant marks the field that a mistyped one most likely stands for.
+func (d *decoder) refuseMeant(path string, at position) {
+	if _, set := d.places[path]; !set {
+		at.refused = true
+		d.places[path] = at
+	}
+}
+
 // revisionField is part of the schema, but the control group sets it.
 const revisionField = protoreflect.FullName("almondrock.v1.Configuration.revision")
 
-func (d *decoder) unknownField(at position, name string, value ast.Node, message protoreflect.MessageDescriptor) {
+func (d *decoder) unknownField(at position, name string, value ast.Node, message protoreflect.MessageDescriptor, path string) {
 	if message.FullName()+"."+protoreflect.FullName(name) == revisionField {
 		d.problems.add(at, RuleMisplacedField, "remove the field", "revision is set by the control group")
 		return
@@ -134,11 +155,13 @@
 	}
 	if field, ok := stemOfUnit(name, message); ok {
 		d.reportUnitStem(at, name, field, value)
+		d.refuseMeant(join(path, string(field.Name())), at)
 		return
 	}
 	suggestion := "the fields are " + strings.Join(fieldNames(message), ", ")
 	if near := nearest.Name(name, fieldNames(message)); near != "" {
 		suggestion = "did you mean " + near + "?"
+		d.refuseMeant(join(path, near), at)
 	}
 	d.problems.add(at, RuleUnknownField, suggestion, "%s is not a field of %s", quote(name), label(message))
 }
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -10,7 +10,8 @@
 )
 
 // Load decodes the base file and the overlays, merges and checks them. It returns either a configuration that compiles
-// or all problems, in the order of the files and their lines. The revision is left at 0.
+// or all problems, in the order of the files and their lines. The revision is left at 0, and the defaults for shards,
+// weights and on_partition are filled in.
 func Load(base SourceFile, overlays []SourceFile) (*schemav1.Configuration, []*schemav1.Problem) {
 	loaded := LoadFiles(base, overlays)
 	return loaded.Configuration, loaded.Problems
@@ -40,9 +41,12 @@
 		places := decode(file, i+1, overlay, problems)
 		merger.merge(overlay, places)
 	}
-	check(configuration, merger.places, problems)
+	if !merger.places[""].refused {
+		check(configuration, merger.places, problems)
+	}
 	loaded := &Loaded{Problems: problems.sorted(), places: merger.places}
 	if len(loaded.Problems) == 0 {
+		fillDefaults(configuration)
 		loaded.Configuration = configuration
 	}
 	return loaded
@@ -65,7 +69,7 @@
 func (m *merger) merge(overlay *schemav1.Overlay, places positions) {
 	name := overlay.GetDataCentre()
 	if name == "" {
-		if _, set := places["data_centre"]; !set {
+		if _, set := places["data_centre"]; !set && !places[""].refused {
 			m.problems.add(places[""], RuleMissing, "write data_centre: NAME", "the overlay does not name its data_centre")
 		}
 		return
@@ -82,6 +86,9 @@
 			return
 		}
 	}
+	if m.places[""].refused || m.places["data_centres"].refused {
+		return
+	}
 	m.problems.add(at, RuleUnknownSite, suggestName(name, dataCentreNames(m.configuration)), "the base file has no data centre %s", quote(name))
 }
 
@@ -106,7 +113,7 @@
 
 func (m *merger) copyField(source, target protoreflect.Message, name protoreflect.Name, from, path string, places positions) {
 	at, set := places[from]
-	if !set {
+	if !set || at.refused {
 		return
 	}
 	value := source.Get(source.Descriptor().Fields().ByName(name))
--- a/pkg/config/problem.go
+++ b/pkg/config/problem.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -38,6 +39,7 @@
 	RuleUnknownAllow    = "unknown-allow"
 	RuleDangerousChange = "dangerous-change"
 	RuleForbiddenChange = "forbidden-change"
+	RuleTooMany         = "too-many"
 )
 
 // position is a place in one of the files; order is the file's rank in the report.
@@ -45,6 +47,8 @@
 	file         string
 	order        int
 	line, column int
+	// refused is set when the field's value has been reported and was not decoded.
+	refused bool
 }
 
 // positions maps the path of a field, such as services[0].shards, to its place.
@@ -73,7 +77,17 @@
 	problem *schemav1.Problem
 }
 
+// maxProblems bounds a report; a file of 1 MiB can hold half a million mistakes.
+const maxProblems = 1000
+
 func (r *report) add(at position, rule, suggestion, format string, args ...any) {
+	if len(r.entries) == maxProblems {
+		at = position{file: at.file, order: math.MaxInt}
+		rule, suggestion, format, args = RuleTooMany, "correct the others first", "there are more than %d problems", []any{maxProblems}
+	}
+	if len(r.entries) > maxProblems {
+		return
+	}
 	r.entries = append(r.entries, reportEntry{at: at, problem: &schemav1.Problem{
 		File: at.file, Line: uint32(max(0, at.line)), Column: uint32(max(0, at.column)), //nolint:gosec // file size bounds both
 		Rule: rule, Message: fmt.Sprintf(format, args...), Suggestion: suggestion,
@@ -129,13 +143,3 @@
 	}
 	return strings.Join(lines, "\n")
 }
-
-// hasAt tells whether a line of a file has a problem already, so that a follow-up of it is not reported.
-func (r *report) hasAt(line, order int) bool {
-	for _, entry := range r.entries {
-		if entry.at.line == line && entry.at.order == order && line > 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/config/scalar.go
+++ b/pkg/config/scalar.go
@@ -73,7 +73,12 @@
 
 func (d *decoder) number(node ast.Node, field protoreflect.FieldDescriptor, path string) (protoreflect.Value, bool) {
 	none := protoreflect.Value{}
+	bounds, digits := boundsOf(field), node.GetToken().Value
 	if text, ok := node.(*ast.StringNode); ok && text.Token.Type == token.StringType {
+		if decimal.MatchString(digits) { // the parser gives a number beyond 64 bits as text
+			d.problems.add(d.at(node), RuleOutOfRange, bounds.suggestion(), "%s can't be %s", path, shorten(digits))
+			return none, false
+		}
 		if value, ok := inUnit(text.Value, field); ok {
 			d.problems.add(d.at(node), RuleWrongUnit, "write "+string(field.Name())+": "+strconv.FormatUint(value, 10),
 				"%s is a number of %s, not %s", path, unitOf(field), quote(text.Value))
@@ -81,12 +86,10 @@
 		}
 	}
 	integer, ok := node.(*ast.IntegerNode)
-	digits := node.GetToken().Value
 	if !ok || !decimal.MatchString(strings.TrimPrefix(digits, "-")) {
 		d.wrongType(node, path, "a whole number")
 		return none, false
 	}
-	bounds := boundsOf(field)
 	value, err := strconv.ParseUint(integer.Token.Value, 10, 64)
 	if err != nil || value < bounds.low || value > bounds.high {
 		d.problems.add(d.at(node), RuleOutOfRange, bounds.suggestion(), "%s can't be %s", path, shorten(digits))
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -72,11 +72,8 @@
 func (c *compiledService) route(path string) *compiledRoute {
 	end := len(path)
 	if end > c.longestPrefix {
-		// A longer prefix can't be a route; the next boundary at or below the longest one is the first to try.
+		// A longer prefix can't be a route; the last boundary up to the longest one is the first to try.
 		end = strings.LastIndexByte(path[:c.longestPrefix+1], '/')
-		if path[c.longestPrefix] == '/' {
-			end = c.longestPrefix
-		}
 	}
 	for end >= 0 {
 		if found, ok := c.routes[path[:end]]; ok {
--- a/pkg/config/source.go
+++ b/pkg/config/source.go
@@ -19,6 +19,8 @@
 	maxFileBytes = 1 << 20
 	// maxDepth bounds the recursion of the parser. The schema itself needs 7 levels.
 	maxDepth = 20
+	// maxKeys bounds the fields of one mapping, because the parser's time grows with their square.
+	maxKeys = 1000
 )
 
 // SourceFile is one of the operators' files.
@@ -74,7 +76,7 @@
 			continue
 		}
 		if root != nil {
-			problems.add(start.of(document.Body.GetToken()), RuleSyntax, "keep one document per file", "the file has more than one YAML document")
+			problems.add(start.ofNode(document.Body), RuleSyntax, "keep one document per file", "the file has more than one YAML document")
 			return nil
 		}
 		root = document.Body
@@ -102,42 +104,75 @@
 	return p
 }
 
+// ofNode returns the place of node, of a mapping that of its first key.
+func (p position) ofNode(node ast.Node) position {
+	if mapping, ok := node.(*ast.MappingNode); ok && len(mapping.Values) > 0 {
+		node = mapping.Values[0].Key
+	}
+	return p.of(node.GetToken())
+}
+
 // nesting follows the depth of a token stream without recursion, since the parser recurses once per level.
 type nesting struct {
-	flow    int
-	run     int
-	columns []int
+	flow int
+	run  int
+	// block has the enclosing block mappings.
+	block []blockMapping
 }
 
+// blockMapping is a mapping whose keys stand in the same column.
+type blockMapping struct{ column, keys int }
+
 func (n *nesting) add(tok *token.Token) {
 	switch tok.Type {
 	case token.MappingStartType, token.SequenceStartType:
 		n.flow++
 	case token.MappingEndType, token.SequenceEndType:
 		n.flow = max(0, n.flow-1)
-	case token.SequenceEntryType, token.MappingKeyType, token.AnchorType, token.TagType:
+	case token.SequenceEntryType:
+		n.run++
+		n.leave(tok.Position.Column)
+	case token.MappingKeyType:
+		if n.flow > 0 {
+			n.run++
+		}
+		n.addKey(tok.Position.Column)
+	case token.AnchorType, token.TagType:
 		n.run++
 	case token.MappingValueType:
 		n.run = 0
-		n.block(tok)
+		if tok.Prev != nil {
+			n.addKey(tok.Prev.Position.Column)
+		}
 	default:
 		n.run = 0
 	}
 }
 
-// block counts the columns of the keys that enclose a block mapping's value.
-func (n *nesting) block(tok *token.Token) {
-	if n.flow > 0 || tok.Prev == nil || tok.Prev.Position == nil {
+// leave ends the block mappings that stand to the right of column.
+func (n *nesting) leave(column int) {
+	for len(n.block) > 0 && n.block[len(n.block)-1].column > column {
+		n.block = n.block[:len(n.block)-1]
+	}
+}
+
+// addKey notes a key of a block mapping.
+func (n *nesting) addKey(column int) {
+	if n.flow > 0 {
 		return
 	}
-	column := tok.Prev.Position.Column
-	for len(n.columns) > 0 && n.columns[len(n.columns)-1] >= column {
-		n.columns = n.columns[:len(n.columns)-1]
+	n.leave(column)
+	if len(n.block) == 0 || n.block[len(n.block)-1].column < column {
+		n.block = append(n.block, blockMapping{column: column})
 	}
-	n.columns = append(n.columns, column)
+	n.block[len(n.block)-1].keys++
 }
 
-func (n *nesting) depth() int { return n.flow + n.run + len(n.columns) }
+func (n *nesting) depth() int { return n.flow + n.run + len(n.block) }
+
+func (n *nesting) hasTooManyKeys() bool {
+	return len(n.block) > 0 && n.block[len(n.block)-1].keys > maxKeys
+}
 
 // scanTokens reports YAML features that the files may not use. It is false when parsing could recurse too deeply.
 func scanTokens(tokens token.Tokens, start position, problems *report) bool {
@@ -148,6 +183,10 @@
 			problems.add(start.of(tok), RuleNesting, "use the fields of the schema only", "the file nests deeper than %d levels", maxDepth)
 			return false
 		}
+		if depth.hasTooManyKeys() {
+			problems.add(start.of(tok), RuleFileSize, "use the fields of the schema only", "a mapping has more than %d fields", maxKeys)
+			return false
+		}
 		if feature := refusedFeature(tok.Type); feature != "" {
 			problems.add(start.of(tok), RuleYAMLFeature, "write the value out in full", "%s are not supported", feature)
 		}
--- a/pkg/config/units.go
+++ b/pkg/config/units.go
@@ -20,15 +20,15 @@
 
 // fieldBounds holds for all fields of the name. A zero is never written out: leaving the field out gives the default.
 var fieldBounds = map[protoreflect.Name]bounds{
-	"deadline_ms":          {1, 3_600_000}, // a large download takes minutes; an hour is a mistake
-	"max_body_bytes":       {1, 1 << 34},   // 16 GiB takes over an hour on the link between regions
-	"max_header_bytes":     {1 << 10, 1e6}, // a header block must hold the platform's own headers
-	"max_callers":          {1, 1_000_000}, // per host
-	"max_queue":            {1, 65_536},    // per target
-	"max_moves_per_minute": {1, 65_536},    // no more than all shards of a service
-	"link_mbit":            {1, 1_000_000}, // 1 Tbit/s
-	"weight":               {1, 1_000},     // deficit round robin visits a tenant once per weight
-	"shards":               {1, maxShards}, // the table of a data centre grows with it
+	"deadline_ms":          {1, 3_600_000},     // a large download takes minutes; more than an hour is a mistake
+	"max_body_bytes":       {1, 1 << 34},       // 16 GiB takes over an hour on the link between regions
+	"max_header_bytes":     {1 << 10, 1 << 20}, // a header block must hold the platform's own headers
+	"max_callers":          {1, 1_000_000},     // per host
+	"max_queue":            {1, 65_536},        // per target
+	"max_moves_per_minute": {1, 65_536},        // no more than all shards of a service
+	"link_mbit":            {1, 1_000_000},     // 1 Tbit/s
+	"weight":               {1, 1_000},         // deficit round robin visits a tenant once per weight
+	"shards":               {1, maxShards},     // the table of a data centre grows with it
 }
 
 const maxShards = 65_536
@@ -103,5 +103,5 @@
 			suggestion += ": " + strconv.FormatUint(number, 10)
 		}
 	}
-	d.problems.add(at, RuleWrongUnit, suggestion, "%s has its unit in its name: %s is a number of %s", name, field.Name(), unitOf(field))
+	d.problems.add(at, RuleWrongUnit, suggestion, "%s is not a field; %s is a number of %s", name, field.Name(), unitOf(field))
 }
