--- /dev/null
+++ b/pkg/cli/router/doc.go
@@ -0,0 +1,2 @@
+// Package router is the command line of the almondrock program.
+package router
--- a/pkg/control/delegate.go
+++ b/pkg/control/delegate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondrock.example/almondrock/pkg/config"
+	"almondrock.example/almondrock/pkg/placement"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -41,98 +42,77 @@
 	return commands
 }
 
+// delegateKeyspace plans one keyspace. A data centre that is merely silent keeps its shards (hold).
 func (d *Driver) delegateKeyspace(now time.Duration, wanted config.Keyspace) []*schemav1.ControlCommand {
-	weights := d.weights(now, wanted)
-	if len(weights) == 0 {
+	centres, capacity := d.centres(now, wanted.Service)
+	if capacity == 0 {
+		// Nothing could serve the shards, and a plan without capacities would have to be undone.
 		return nil
 	}
 	current := d.state.shards(wanted)
-	present := make([]string, len(current))
-	pending := 0
+	input := placement.CentreInput{
+		Centres:     centres,
+		HomeRegions: wanted.HomeRegions,
+		Owners:      make([]string, len(current)),
+		Pinned:      make([]bool, len(current)),
+		MovesLeft:   maxDelegationMoves,
+	}
 	for shard, entry := range current {
-		switch {
-		case entry.next != "":
-			present[shard] = entry.next
-			pending++
-		case d.mustLeave(now, entry.dataCentre):
-			present[shard] = ""
-		default:
-			present[shard] = entry.dataCentre
+		input.Owners[shard] = entry.dataCentre
+		if entry.next != "" {
+			input.Owners[shard], input.Pinned[shard] = entry.next, true
+			input.MovesLeft = max(0, input.MovesLeft-1)
 		}
 	}
-	target := d.planner.Plan(present, weights, max(0, maxDelegationMoves-pending))
-	return d.redelegations(now, wanted.ID, current, target)
+	plan := placement.PlanCentres(input)
+	var commands []*schemav1.ControlCommand
+	for _, change := range append(plan.Assignments, plan.Moves...) {
+		commands = append(commands, redelegations(wanted.ID, current, change)...)
+	}
+	return commands
 }
 
-// redelegations groups changed shards into ranges with the same present and next data centre.
-func (d *Driver) redelegations(now time.Duration, id string, current []shardDelegation, target []string) []*schemav1.ControlCommand {
+// redelegations splits a change where the present delegation or its epoch differs, because a command names both.
+func redelegations(id string, current []shardDelegation, change placement.CentreChange) []*schemav1.ControlCommand {
 	var commands []*schemav1.ControlCommand
 	var last *schemav1.Redelegate
-	var lastEpoch uint64
-	for shard, entry := range current {
-		next := target[shard]
-		if next == "" || next == entry.dataCentre || entry.next != "" || (d.isLost(entry.dataCentre) && !d.lostLongEnough(now, entry.dataCentre)) {
-			last = nil
-			continue
-		}
-		if last != nil && last.GetDataCentre() == entry.dataCentre && last.GetNextDataCentre() == next && lastEpoch == entry.epoch {
+	for shard := change.FirstShard; shard < change.FirstShard+change.Count; shard++ {
+		entry := current[shard]
+		if last != nil && last.GetDataCentre() == entry.dataCentre && last.GetRanges()[0].GetEpoch() == entry.epoch {
 			last.GetRanges()[0].Count++
 			continue
 		}
-		lastEpoch = entry.epoch
 		last = &schemav1.Redelegate{
 			DataCentre:     entry.dataCentre,
-			NextDataCentre: next,
-			Ranges: []*schemav1.ShardRange{{
-				Keyspace: id, FirstShard: uint32(shard), Count: 1, Epoch: entry.epoch, //nolint:gosec // at most keyspace.MaxShards
-			}},
+			NextDataCentre: change.To,
+			Ranges:         []*schemav1.ShardRange{{Keyspace: id, FirstShard: shard, Count: 1, Epoch: entry.epoch}},
 		}
 		commands = append(commands, &schemav1.ControlCommand{Command: &schemav1.ControlCommand_Redelegate{Redelegate: last}})
 	}
 	return commands
 }
 
-// weights returns the slots that each eligible data centre offers to the service of wanted.
-func (d *Driver) weights(now time.Duration, wanted config.Keyspace) map[string]uint32 {
-	weights := map[string]uint32{}
-	regions := map[string]bool{}
-	for _, region := range wanted.HomeRegions {
-		regions[region] = true
-	}
+// centres describes the data centres for the planner, and returns the slots that they offer to a service in all.
+func (d *Driver) centres(now time.Duration, service string) (centres []placement.Centre, capacity float64) {
 	for _, dataCentre := range d.state.Configuration().GetDataCentres() {
-		report, ok := d.reports[dataCentre.GetName()]
-		if !ok || now-report.at > capacityFresh || dataCentre.GetOut() || dataCentre.GetLost() {
-			continue
-		}
-		if len(regions) > 0 && !regions[dataCentre.GetRegion()] {
-			continue
+		report, heard := d.reports[dataCentre.GetName()]
+		centre := placement.Centre{
+			Name:     dataCentre.GetName(),
+			Region:   dataCentre.GetRegion(),
+			Capacity: float64(report.capacity[service]),
+			Out:      dataCentre.GetOut(),
+			Lost:     dataCentre.GetLost() && d.lostLongEnough(now, dataCentre.GetName()),
+			Silent:   !heard || now-report.at > capacityFresh,
 		}
-		if capacity := report.capacity[wanted.Service]; capacity > 0 {
-			weights[dataCentre.GetName()] = capacity
-		}
-	}
-	return weights
-}
-
-// mustLeave reports whether a data centre may not keep its shards. One that is merely silent keeps them (hold).
-func (d *Driver) mustLeave(now time.Duration, name string) bool {
-	for _, dataCentre := range d.state.Configuration().GetDataCentres() {
-		if dataCentre.GetName() == name {
-			return dataCentre.GetOut() || (dataCentre.GetLost() && d.lostLongEnough(now, name))
-		}
-	}
-	return false
-}
-
-func (d *Driver) isLost(name string) bool {
-	for _, dataCentre := range d.state.Configuration().GetDataCentres() {
-		if dataCentre.GetName() == name {
-			return dataCentre.GetLost()
+		if !centre.Out && !centre.Lost && !centre.Silent {
+			capacity += centre.Capacity
 		}
+		centres = append(centres, centre)
 	}
-	return false
+	return centres, capacity
 }
 
+// lostLongEnough starts the wait at the first call.
 func (d *Driver) lostLongEnough(now time.Duration, name string) bool {
 	since, ok := d.lostSince[name]
 	if !ok {
--- a/pkg/control/driver.go
+++ b/pkg/control/driver.go
@@ -43,7 +43,6 @@
 // leader collects again from polls. It is not safe for concurrent use.
 type Driver struct {
 	state       *State
-	planner     Planner
 	leaderSince time.Duration
 	firstSeen   map[string]time.Duration
 	reports     map[string]dataCentreReport
@@ -52,18 +51,10 @@
 	lostSince   map[string]time.Duration
 }
 
-// Planner distributes shards over data centres.
-type Planner interface {
-	// Plan returns the wanted data centre for each shard, given the present one ("" for none) and the weights of
-	// the data centres that may serve it. It moves as few shards as the weights allow.
-	Plan(present []string, weights map[string]uint32, maxMoves int) []string
-}
-
 // NewDriver returns the driver of a host that became leader at now.
-func NewDriver(state *State, planner Planner, now time.Duration) *Driver {
+func NewDriver(state *State, now time.Duration) *Driver {
 	return &Driver{
 		state:       state,
-		planner:     planner,
 		leaderSince: now,
 		firstSeen:   map[string]time.Duration{},
 		reports:     map[string]dataCentreReport{},
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -26,12 +26,11 @@
 
 // Service answers the calls of hosts and operators. Only the leader answers; other members return its address.
 type Service struct {
-	state   *State
-	log     Log
-	check   Check
-	planner Planner
-	sealer  Sealer
-	clock   lease.Clock
+	state  *State
+	log    Log
+	check  Check
+	sealer Sealer
+	clock  lease.Clock
 
 	mu     sync.Mutex
 	driver *Driver
@@ -39,23 +38,21 @@
 
 // Options of a Service. All fields are required.
 type Options struct {
-	State   *State
-	Log     Log
-	Check   Check
-	Planner Planner
-	Sealer  Sealer
-	Clock   lease.Clock
+	State  *State
+	Log    Log
+	Check  Check
+	Sealer Sealer
+	Clock  lease.Clock
 }
 
 // NewService returns a service; Run must be called to make the leader decide.
 func NewService(options Options) *Service {
 	return &Service{
-		state:   options.State,
-		log:     options.Log,
-		check:   options.Check,
-		planner: options.Planner,
-		sealer:  options.Sealer,
-		clock:   options.Clock,
+		state:  options.State,
+		log:    options.Log,
+		check:  options.Check,
+		sealer: options.Sealer,
+		clock:  options.Clock,
 	}
 }
 
@@ -175,7 +172,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	if s.driver == nil {
-		s.driver = NewDriver(s.state, s.planner, now)
+		s.driver = NewDriver(s.state, now)
 	}
 	return s.driver.Step(now)
 }
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -45,7 +45,6 @@
 	HostsPerDataCentre int
 	LogDecisions       bool
 	Check              control.Check
-	Planner            control.Planner
 }
 
 // Deployment is a running deployment.
@@ -129,7 +128,7 @@
 				seeds = append(seeds, settings.GetName()+"="+listeners.RPC.Addr().String())
 			}
 			plans = append(plans, host.Options{
-				Settings: settings, Listeners: listeners, Check: options.Check, Planner: options.Planner, First: options.First,
+				Settings: settings, Listeners: listeners, Check: options.Check, First: options.First,
 			})
 		}
 	}
@@ -234,4 +233,3 @@
 		os.RemoveAll(d.temporary)
 	}
 }
-
--- a/pkg/host/control.go
+++ b/pkg/host/control.go
@@ -7,7 +7,8 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
+	"github.com/ansel1/merry/v2"
+
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/control"
@@ -80,12 +81,11 @@
 		return err
 	}
 	service := control.NewService(control.Options{
-		State:   c.state,
-		Log:     &controlLog{replica: replica},
-		Check:   c.host.options.Check,
-		Planner: c.host.options.Planner,
-		Sealer:  &sealer{client: c.host.client},
-		Clock:   c.host.clock,
+		State:  c.state,
+		Log:    &controlLog{replica: replica},
+		Check:  c.host.options.Check,
+		Sealer: &sealer{client: c.host.client},
+		Clock:  c.host.clock,
 	})
 	c.mu.Lock()
 	c.replica, c.service = replica, service
@@ -216,7 +216,7 @@
 			response.Members = append(response.Members, &schemav1.Member{Id: member.ID, Address: member.Address, Learner: member.Learner})
 		}
 	case !c.fresh:
-		return nil, ErrNotLeader.Here()
+		return nil, merry.Wrap(ErrNotLeader)
 	}
 	return response, nil
 }
@@ -225,7 +225,7 @@
 func (c *controlMember) addMember(ctx context.Context, request *schemav1.AddMemberRequest) (*schemav1.AddMemberResponse, error) {
 	replica, _ := c.parts()
 	if replica == nil {
-		return nil, ErrNotLeader.Here()
+		return nil, merry.Wrap(ErrNotLeader)
 	}
 	if status := replica.Status(); status.Role != raft.Leader {
 		return &schemav1.AddMemberResponse{LeaderAddress: status.LeaderAddress}, nil
@@ -328,10 +328,3 @@
 	response := &schemav1.SealResponse{}
 	return response, s.client.Call(ctx, address, methodSeal, request, response)
 }
-
-// call calls another host with the default deadline.
-func (h *Host) call(ctx context.Context, address, method string, request, response proto.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return h.client.Call(ctx, address, method, request, response)
-}
--- a/pkg/host/controlclient.go
+++ b/pkg/host/controlclient.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -54,7 +56,7 @@
 	}
 	h.setControlLeader("")
 	if last == nil {
-		last = ErrNotLeader.Here()
+		last = merry.Wrap(ErrNotLeader)
 	}
 	return last
 }
--- a/pkg/host/errors.go
+++ b/pkg/host/errors.go
@@ -10,7 +10,7 @@
 type ListenError struct {
 	// Setting is the flag that gave the address.
 	Setting, Address string
-	Err             error
+	Err              error
 }
 
 // Error implements error.
--- a/pkg/host/group.go
+++ b/pkg/host/group.go
@@ -193,7 +193,9 @@
 	}
 	for id, host := range hosts {
 		if !known[id] {
-			return func(ctx context.Context, r *replication.Replica) error { return r.AddLearner(ctx, id, host.GetRpcAddress()) }
+			return func(ctx context.Context, r *replication.Replica) error {
+				return r.AddLearner(ctx, id, host.GetRpcAddress())
+			}
 		}
 	}
 	return nil
--- a/pkg/host/groupservice.go
+++ b/pkg/host/groupservice.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"google.golang.org/protobuf/proto"
 
 	"almondrock.example/almondrock/pkg/apierr"
@@ -156,7 +158,7 @@
 	for range proposeTries {
 		g := h.group.Load()
 		if g == nil {
-			return nil, ErrNoGroup.Here()
+			return nil, merry.Wrap(ErrNoGroup)
 		}
 		result, err := h.proposeOnce(ctx, g, command)
 		if err == nil && result != nil {
@@ -169,7 +171,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	return nil, ErrNotLeader.Here()
+	return nil, merry.Wrap(ErrNotLeader)
 }
 
 // proposeOnce returns nothing when the leader changed and the command was certainly not proposed.
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -13,6 +13,7 @@
 
 	"almondrock.example/almondrock/pkg/decisionlog"
 	"almondrock.example/almondrock/pkg/lease"
+	"almondrock.example/almondrock/pkg/link"
 	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/proxy"
 	"almondrock.example/almondrock/pkg/rpc"
@@ -49,6 +50,7 @@
 	lease     *lease.Holder
 	decisions *decisionlog.Log
 	metrics   *metrics.Registry
+	link      *link.Link
 	control   *controlMember
 	group     atomic.Pointer[group]
 	views     viewStore
@@ -94,6 +96,7 @@
 		admin:   h.listeners.Admin.Addr().String(),
 	}
 	h.metrics = metrics.New(h.settings.GetName(), h.settings.GetDataCentre())
+	h.link = h.newLink()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.client = rpc.NewClient(rpc.ClientOptions{})
 	h.transport = newRaftTransport(h.ctx, h.client, &h.tasks)
--- a/pkg/host/options.go
+++ b/pkg/host/options.go
@@ -13,8 +13,6 @@
 	Settings *schemav1.HostSettings
 	// Check merges and checks submissions; required on members of the control group.
 	Check control.Check
-	// Planner distributes shards over data centres; required on members of the control group.
-	Planner control.Planner
 	// First is submitted by the leader of a control group without a revision; it may be nil.
 	First *schemav1.Submission
 	// Listeners replace the addresses of the settings, for tests and the dev command.
--- /dev/null
+++ b/pkg/host/proxy.go
@@ -0,0 +1,56 @@
+package host
+
+import (
+	"sync"
+
+	"almondrock.example/almondrock/pkg/link"
+	"almondrock.example/almondrock/pkg/metrics"
+	"almondrock.example/almondrock/pkg/proxy"
+	"almondrock.example/almondrock/pkg/retry"
+)
+
+// proxyOptions wires the data path to this host.
+func (h *Host) proxyOptions() proxy.Options {
+	return proxy.Options{
+		Directory: directory{h},
+		Targets:   h.manager,
+		Records:   records{host: h, attempts: &sync.Map{}},
+		Retries:   retries{retry.NewBudget(h.clock)},
+		Link:      linkAdapter{h.link},
+		Changed:   h.tableChanged,
+		Log:       h.decisions,
+		Scope:     h.metrics.Scope,
+		Clock:     h.clock,
+	}
+}
+
+// tableChanged returns a channel that closes at the next change of the table.
+func (h *Host) tableChanged() <-chan struct{} {
+	if g := h.group.Load(); g != nil {
+		return g.table.Changed()
+	}
+	return nil
+}
+
+// defaultLinkMbit is the capacity of the link between regions until the configuration is known.
+const defaultLinkMbit = 30
+
+// newLink returns this host's share of the link between regions.
+func (h *Host) newLink() *link.Link {
+	return link.New(link.Options{Mbit: defaultLinkMbit, Counted: func(direction link.Direction, class link.Class, bytes int) {
+		h.metrics.Scope.Tagged(map[string]string{
+			metrics.TagDirection: direction.String(), metrics.TagClass: class.String(),
+		}).Counter(metrics.LinkBytes).Inc(int64(bytes))
+	}})
+}
+
+// shareLink divides the link among the hosts of the region.
+func (h *Host) shareLink(view *compiledView) {
+	hosts := 0
+	for _, host := range view.view.GetHosts() {
+		if host.GetRegion() == h.settings.GetRegion() {
+			hosts++
+		}
+	}
+	h.link.Share(max(1, hosts))
+}
--- /dev/null
+++ b/pkg/host/ready.go
@@ -0,0 +1,60 @@
+package host
+
+import (
+	"strings"
+	"time"
+)
+
+// staleAfter is how long a host may go without news of its group before it counts as cut off; a revision must be in
+// force everywhere within that time.
+const staleAfter = 5 * time.Second
+
+// Readiness tells whether the balancer should send callers here.
+type Readiness struct {
+	OK bool
+	// Reasons say what is missing; empty when OK.
+	Reasons []string
+}
+
+// Ready reports whether this host can serve.
+func (h *Host) Ready() Readiness {
+	var reasons []string
+	if h.draining.Load() {
+		reasons = append(reasons, "a planned stop is under way")
+	}
+	g := h.group.Load()
+	switch {
+	case g == nil:
+		reasons = append(reasons, "not yet a member of the data centre group")
+	case !h.lease.Valid():
+		reasons = append(reasons, "no host lease: the group has no leader, or this host cannot reach it")
+	}
+	view := h.views.get()
+	switch {
+	case view == nil || view.snapshot == nil:
+		reasons = append(reasons, "no configuration yet")
+	case h.isOut(view):
+		reasons = append(reasons, "data centre "+h.settings.GetDataCentre()+" is taken out of service")
+	}
+	return Readiness{OK: len(reasons) == 0, Reasons: reasons}
+}
+
+func (h *Host) isOut(view *compiledView) bool {
+	for _, out := range view.view.GetDataCentresOut() {
+		if out == h.settings.GetDataCentre() {
+			return true
+		}
+	}
+	return false
+}
+
+// String joins the reasons for a log line or an answer.
+func (r Readiness) String() string {
+	if r.OK {
+		return "ready"
+	}
+	return strings.Join(r.Reasons, "; ")
+}
+
+// DataCentre is the data centre of this host.
+func (h *Host) DataCentre() string { return h.settings.GetDataCentre() }
--- a/pkg/host/records.go
+++ b/pkg/host/records.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"almondrock.example/almondrock/pkg/apierr"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -45,7 +47,7 @@
 func (r records) Finish(ctx context.Context, id []byte, state schemav1.RecordState, answer *schemav1.StoredAnswer) error {
 	attempt, ok := r.attempts.LoadAndDelete(string(id))
 	if !ok {
-		return ErrNotBegun.Here()
+		return merry.Wrap(ErrNotBegun)
 	}
 	_, err := r.host.proposeToLeader(ctx, &schemav1.GroupCommand{Command: &schemav1.GroupCommand_FinishRecord{
 		FinishRecord: &schemav1.FinishRecord{Id: id, State: state, Answer: answer, Attempt: attempt.(uint64)},
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+	"k8s.io/klog/v2"
 )
 
 // Names of metrics. Units are part of the name.
@@ -61,12 +63,21 @@
 
 // New returns a registry whose metrics are prefixed with almondrock_ and tagged with host and data centre.
 func New(host, dataCentre string) *Registry {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several hosts run in one process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer:      registry,
+		Gatherer:        registry,
+		OnRegisterError: func(err error) { klog.ErrorS(err, "metric not registered") },
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "almondrock",
 		Tags:           map[string]string{"host": host, TagDataCentre: dataCentre},
 		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		// Prometheus allows letters, digits and underscores only.
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+		Separator:              prometheus.DefaultSeparator,
 	}, reportInterval)
 	return &Registry{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
