--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"math/bits"
-	"regexp"
 	"strings"
 
 	"google.golang.org/protobuf/reflect/protoreflect"
 
+	"almondrock.example/almondrock/pkg/internal/names"
 	"almondrock.example/almondrock/pkg/internal/nearest"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -61,21 +61,18 @@
 	}
 }
 
-// names are used in paths, addresses of keyspaces, flags and file names. A "+" or "/" would make keyspaces ambiguous.
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-
-// names checks the name fields of a list.
-func (c *checker) names(list string, names []string) {
+// checkNames checks the name fields of a list.
+func (c *checker) checkNames(list string, values []string) {
 	first := map[string]int{}
-	for i, name := range names {
+	for i, name := range values {
 		path := fmt.Sprintf("%s[%d].name", list, i)
 		c.required(name == "", path, "write name: NAME")
 		if name == "" {
 			c.emptyName(path)
 			continue
 		}
-		if !namePattern.MatchString(name) {
-			c.add(path, RuleBadName, "use 1 to 63 of a-z, 0-9 and -, not - at the ends", "%s can't be %s", path, quote(name))
+		if !names.Valid(name) {
+			c.add(path, RuleBadName, "use "+names.Rule, "%s can't be %s", path, quote(name))
 		}
 		if earlier, twice := first[name]; twice {
 			c.duplicate(path, fmt.Sprintf("%s[%d].name", list, earlier), name)
@@ -87,7 +84,7 @@
 
 func (c *checker) emptyName(path string) {
 	if c.isSet(path) && !c.places[path].refused {
-		c.add(path, RuleBadName, "use 1 to 63 of a-z, 0-9 and -, not - at the ends", "%s can't be empty", path)
+		c.add(path, RuleBadName, "use "+names.Rule, "%s can't be empty", path)
 	}
 }
 
@@ -98,16 +95,12 @@
 
 func (c *checker) checkRegions() {
 	c.requiredList(len(c.configuration.GetRegions()), "regions", "list at least one region")
-	names := make([]string, len(c.configuration.GetRegions()))
-	for i, region := range c.configuration.GetRegions() {
-		names[i] = region.GetName()
-	}
-	c.names("regions", names)
+	c.checkNames("regions", namesOf(c.configuration.GetRegions()))
 }
 
 func (c *checker) checkDataCentres() {
 	c.requiredList(len(c.configuration.GetDataCentres()), "data_centres", "list at least one data centre")
-	c.names("data_centres", dataCentreNames(c.configuration))
+	c.checkNames("data_centres", namesOf(c.configuration.GetDataCentres()))
 	used, complete := map[string]bool{}, true
 	for i, site := range c.configuration.GetDataCentres() {
 		path := fmt.Sprintf("data_centres[%d]", i)
@@ -129,11 +122,7 @@
 
 func (c *checker) region(name, path string) {
 	if !c.regions[name] {
-		known := make([]string, 0, len(c.configuration.GetRegions()))
-		for _, region := range c.configuration.GetRegions() {
-			known = append(known, region.GetName())
-		}
-		c.add(path, RuleUnknownRegion, suggestName(name, known), "%s names the unknown region %s", path, quote(name))
+		c.add(path, RuleUnknownRegion, suggestName(name, namesOf(c.configuration.GetRegions())), "%s names the unknown region %s", path, quote(name))
 	}
 }
 
@@ -153,12 +142,10 @@
 }
 
 func (c *checker) checkTenants() {
-	names := make([]string, len(c.configuration.GetTenants()))
 	for i, tenant := range c.configuration.GetTenants() {
-		names[i] = tenant.GetName()
 		c.homeRegions(tenant.GetHomeRegions(), fmt.Sprintf("tenants[%d].home_regions", i))
 	}
-	c.names("tenants", names)
+	c.checkNames("tenants", namesOf(c.configuration.GetTenants()))
 }
 
 func (c *checker) checkClasses() {
@@ -215,12 +202,12 @@
 
 func isPowerOfTwo(n uint32) bool { return bits.OnesCount32(n) == 1 }
 
-func dataCentreNames(configuration *schemav1.Configuration) []string {
-	names := make([]string, len(configuration.GetDataCentres()))
-	for i, site := range configuration.GetDataCentres() {
-		names[i] = site.GetName()
+func namesOf[T named](list []T) []string {
+	found := make([]string, len(list))
+	for i, element := range list {
+		found[i] = element.GetName()
 	}
-	return names
+	return found
 }
 
 // suggestName proposes the nearest of the known names, or lists them when none is near.
--- a/pkg/config/check_services.go
+++ b/pkg/config/check_services.go
@@ -16,12 +16,10 @@
 func (c *checker) checkServices() {
 	services := c.configuration.GetServices()
 	c.requiredList(len(services), "services", "list at least one service")
-	names := make([]string, len(services))
 	for i, service := range services {
-		names[i] = service.GetName()
 		c.checkService(service, fmt.Sprintf("services[%d]", i))
 	}
-	c.names("services", names)
+	c.checkNames("services", namesOf(services))
 }
 
 func (c *checker) checkService(service *schemav1.Service, path string) {
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -89,7 +89,7 @@
 	if m.places[""].refused || m.places["data_centres"].refused {
 		return
 	}
-	m.problems.add(at, RuleUnknownSite, suggestName(name, dataCentreNames(m.configuration)), "the base file has no data centre %s", quote(name))
+	m.problems.add(at, RuleUnknownSite, suggestName(name, namesOf(m.configuration.GetDataCentres())), "the base file has no data centre %s", quote(name))
 }
 
 // apply copies each field that the overlay sets, limits field by field, and its place.
