Add almondctl: check, plan, submit, status, explain and version

Cause: operators need to check and submit files from a shell, with a true outcome when an answer is lost.

Change: pkg/cli/ctl with cobra, settings by pkg/settings and a small API interface over HTTP/JSON. submit sends the same bytes with the same id until an answer comes or the time is over; it then names the id. A conflict shows the winner and the difference to the revision in force. Errors never contain the key that is explained, although net/http puts the URL into its errors.

Conclusion: tested against an httptest stand-in of the administration API; the server side does not exist yet. No figures were measured.

--- /dev/null
+++ b/pkg/cli/ctl/ctl.go
@@ -0,0 +1,167 @@
+// Package ctl is the operators' tool almondctl: it checks the operators' files on this machine, and plans, submits and
+// explains them through the administration API of any host.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/settings"
+)
+
+// Exit codes.
+const (
+	ExitOK = 0
+	// ExitRefused means that files, a change or a request were refused; nothing has changed.
+	ExitRefused = 1
+	// ExitUsage means wrong arguments, settings, or files that can't be read; nothing was sent.
+	ExitUsage = 2
+	// ExitUnreachable means that no usable answer came; the outcome of a submission is then unknown.
+	ExitUnreachable = 3
+)
+
+// Options are the tool's connections to the process around it. Zero values other than the streams get defaults.
+type Options struct {
+	Out, Err io.Writer
+	// Environ is in the form of os.Environ.
+	Environ []string
+	// Connect returns the API at an address; NewClient by default.
+	Connect func(address string) API
+	// Sleep waits between resends; it returns early with an error when the context ends.
+	Sleep func(ctx context.Context, duration time.Duration) error
+	// Now is the time recorded with a submission.
+	Now func() time.Time
+	// NewID draws a submission id.
+	NewID func() string
+}
+
+func (o Options) withDefaults() Options {
+	if o.Connect == nil {
+		o.Connect = func(address string) API { return NewClient(address) }
+	}
+	if o.Sleep == nil {
+		o.Sleep = sleep
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.NewID == nil {
+		o.NewID = newID
+	}
+	return o
+}
+
+// Run executes almondctl with the arguments after the program's name and returns the exit code.
+func Run(ctx context.Context, args []string, options Options) int {
+	t := &tool{Options: options.withDefaults(), settings: &schemav1.CtlSettings{}}
+	root := t.command()
+	root.SetArgs(args)
+	root.SetOut(options.Out)
+	root.SetErr(options.Err)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	code, text := outcome(err)
+	// Nobody is left to tell when standard error is closed.
+	_, _ = fmt.Fprintln(options.Err, text)
+	return code
+}
+
+// outcome maps an error to the exit code and the text for standard error. Errors of cobra itself have no type of ours
+// and are about arguments.
+func outcome(err error) (int, string) {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return ExitRefused, refused.Error()
+	}
+	var unreachable *UnreachableError
+	if errors.As(err, &unreachable) {
+		return ExitUnreachable, "almondctl: " + unreachable.Error()
+	}
+	var invalid *settings.InvalidError
+	if errors.As(err, &invalid) {
+		return ExitUsage, invalid.Error()
+	}
+	return ExitUsage, "almondctl: " + err.Error() + "\nRun 'almondctl --help' for usage."
+}
+
+// tool is one run of almondctl.
+type tool struct {
+	Options
+	settings *schemav1.CtlSettings
+	timeout  time.Duration
+}
+
+const longHelp = `almondctl checks the operators' files, and plans, submits and explains them.
+
+Exit codes:
+  0  done
+  1  refused: the files, the change or the request; nothing has changed
+  2  wrong arguments, settings, or files that can't be read; nothing was sent
+  3  unreachable: no usable answer; send a submission again with the same --id
+
+Each flag with a variable in brackets can be set by that variable; the flag wins.`
+
+func (t *tool) command() *cobra.Command {
+	root := &cobra.Command{
+		Use: "almondctl", Short: "Check, plan and submit the operators' files", Long: longHelp,
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
+		PersistentPreRunE: t.readSettings,
+		// Without a function to run, cobra would answer an unknown command with the help text and success.
+		RunE: func(command *cobra.Command, _ []string) error { return command.Help() },
+	}
+	settings.Register(root.PersistentFlags(), t.settings)
+	// The error is about a flag that does not exist.
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"text", "json"}, cobra.ShellCompDirectiveNoFileComp))
+	root.AddCommand(t.checkCommand(), t.planCommand(), t.submitCommand(), t.statusCommand(), t.explainCommand(), t.versionCommand())
+	return root
+}
+
+func (t *tool) readSettings(command *cobra.Command, _ []string) error {
+	if isCompletion(command) {
+		return nil
+	}
+	if err := settings.Read(command.Flags(), t.Environ, t.settings); err != nil {
+		return err
+	}
+	// Read has checked the format.
+	t.timeout, _ = time.ParseDuration(t.settings.GetTimeout())
+	return nil
+}
+
+// isCompletion holds for cobra's own commands, which must work whatever the settings are.
+func isCompletion(command *cobra.Command) bool {
+	for ; command != nil; command = command.Parent() {
+		if command.Name() == "completion" || command.Name() == "help" || strings.HasPrefix(command.Name(), cobra.ShellCompRequestCmd) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *tool) isJSON() bool { return t.settings.GetOutput() == "json" }
+
+// call bounds the time of all calls of a command.
+func (t *tool) call(command *cobra.Command) (context.Context, context.CancelFunc, API) {
+	ctx, cancel := context.WithTimeout(command.Context(), t.timeout)
+	return ctx, cancel, t.Connect(t.settings.GetAddress())
+}
+
+func sleep(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- a/pkg/config/source.go
+++ b/pkg/config/source.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// maxFileBytes bounds the memory that a submission takes; a base file with 1,000 services has about 300 KiB.
-	maxFileBytes = 1 << 20
+	// MaxFileBytes bounds the memory that a submission takes; a base file with 1,000 services has about 300 KiB.
+	MaxFileBytes = 1 << 20
 	// maxDepth bounds the recursion of the parser. The schema itself needs 7 levels.
 	maxDepth = 20
 	// maxKeys bounds the fields of one mapping, because the parser's time grows with their square.
@@ -42,8 +42,8 @@
 // parse returns the root of the file's only document, or nil when the file is refused or empty.
 func parse(file SourceFile, order int, problems *report) ast.Node {
 	start := position{file: file.Name, order: order, line: 1, column: 1}
-	if len(file.Content) > maxFileBytes {
-		problems.add(start, RuleFileSize, "split the file", "the file has %d bytes; the limit is %d", len(file.Content), maxFileBytes)
+	if len(file.Content) > MaxFileBytes {
+		problems.add(start, RuleFileSize, "split the file", "the file has %d bytes; the limit is %d", len(file.Content), MaxFileBytes)
 		return nil
 	}
 	if !utf8.Valid(file.Content) {
