--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -12,6 +12,9 @@
 const (
 	choices  = 2
 	maxDraws = 8
+	// clearlyBetter is the factor by which a later draw must be better. Smaller differences are chance, and following them
+	// would leave out a target whose estimate is a little worse for good.
+	clearlyBetter = 1.25
 )
 
 // Target is a ready target.
@@ -58,6 +61,7 @@
 	mu     sync.Mutex
 	byName map[string]*state
 	groups []*group
+	turn   int
 	// usual is the mean latency of each kind over all targets.
 	usual [Kinds]time.Duration
 }
@@ -153,7 +157,7 @@
 	}
 	var best *state
 	for draw, found := 0, 0; draw < maxDraws && found < choices; draw++ {
-		s := c.at(distance, query, c.options.Random.IntN(size))
+		s := c.at(distance, query, c.draw(draw, size))
 		if s == best || slices.Contains(query.Tried, s.target.Name) {
 			continue
 		}
@@ -164,7 +168,7 @@
 			continue
 		}
 		found++
-		if best == nil || s.score(now) < best.score(now) {
+		if best == nil || s.score(now)*clearlyBetter < best.score(now) {
 			best = s
 		}
 	}
@@ -174,6 +178,16 @@
 	return best
 }
 
+// draw returns the index of a target: the first draw takes the targets in turn, the others are random. Turns spread
+// requests more evenly than chance does.
+func (c *Chooser) draw(number, size int) int {
+	if number > 0 {
+		return c.options.Random.IntN(size)
+	}
+	c.turn++
+	return c.turn % size
+}
+
 // leastSlow looks at all targets at distance, for the case that all draws were rejected. When every target is slow, the
 // service still needs one.
 func (c *Chooser) leastSlow(now time.Duration, distance Distance, query *Query, size int) *state {
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -28,7 +28,7 @@
 	avoidRatio = 4
 	// firstProbe is the pause before an avoided target gets a request again; it doubles up to lastProbe while probes are
 	// slow. A probe is a caller's request, so probes must be rare.
-	firstProbe = 500 * time.Millisecond
+	firstProbe = time.Second
 	lastProbe  = 8 * time.Second
 	// slownessShare and usualShare are the weights of a new sample in a target's slowness and in the usual latency.
 	slownessShare = 4
@@ -156,7 +156,7 @@
 		return
 	}
 	if s.slow {
-		s.slowness = min(s.slowness, max(ratio, 1))
+		s.slowness = min(s.slowness, ratio)
 	}
 	s.slow, s.pause = false, 0
 }
