Add the load generator

Cause: latency and refusals as callers see them must be measurable without coordinated omission, and crossed answers and doubled runs must be found.

Change: pkg/loadgen sends an open-loop Poisson load to a loopback IP address (names and other addresses are refused), counts latency from the intended send time, checks the JSON of the stand-in target, and writes a table, JSON and an SVG plot.

Before: nothing. No router was measured yet.

Conclusion: the command can be mounted in cmd/almondctl.

--- /dev/null
+++ b/pkg/loadgen/command.go
@@ -0,0 +1,86 @@
+package loadgen
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/spf13/cobra"
+)
+
+// Command returns the command "load" of almondctl. It exits with an AnswerError when answers were crossed or requests
+// ran twice.
+func Command() *cobra.Command {
+	var options Options
+	var jsonFile, svgFile string
+	command := &cobra.Command{
+		Use:   "load URL",
+		Short: "Offer an open-loop load to a loopback address and report latencies and refusals",
+		Long: "Offer an open-loop load to a loopback address and report latencies and refusals.\n\n" +
+			"URL has a loopback IP address, the service and the path, for example http://127.0.0.1:8080/fitting-desk/lookup.\n" +
+			"Latency is counted from the intended send time. Answers are checked against the JSON of the stand-in target.",
+		Args:         cobra.ExactArgs(1),
+		SilenceUsage: true,
+		RunE: func(command *cobra.Command, args []string) error {
+			options.URL = args[0]
+			report, err := Run(command.Context(), options)
+			if err != nil {
+				return err
+			}
+			return report.output(command.OutOrStdout(), jsonFile, svgFile)
+		},
+	}
+	flags := command.Flags()
+	flags.Float64Var(&options.Rate, "rate", 100, "mean requests per second")
+	flags.DurationVar(&options.Duration, "duration", 10*time.Second, "how long requests are sent, at most 10m")
+	flags.IntVar(&options.Count, "count", 0, "most requests to send; 0 for no limit but the duration")
+	flags.IntVar(&options.Workers, "workers", 100, "most requests in flight")
+	flags.IntVar(&options.Keys, "keys", 1000, "number of different keys")
+	flags.Float64Var(&options.KeySkew, "key-skew", 0, "exponent of a Zipf distribution over keys, above 1; 0 for uniform")
+	flags.StringVar(&options.Tenant, "tenant", "", "tenant of the requests")
+	flags.Float64Var(&options.PostShare, "post-share", 0, "part of the requests sent as POST with an Idempotency-Key, 0 to 1")
+	flags.DurationVar(&options.Deadline, "deadline", time.Second, "deadline of each request; 0 for none")
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed of send times, keys and methods; also part of the Idempotency-Keys")
+	flags.StringVar(&jsonFile, "json", "", "file for the report as JSON")
+	flags.StringVar(&svgFile, "svg", "", "file for a plot of latency by percentile")
+	return command
+}
+
+// AnswerError tells that a run saw answers that must never occur.
+type AnswerError struct {
+	// Crossed and Doubled are the counts of the report.
+	Crossed, Doubled int
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return "some answers were crossed or some requests ran more than once"
+}
+
+// output writes the table to w and the other forms to files, unless their names are empty.
+func (r *Report) output(w io.Writer, jsonFile, svgFile string) error {
+	if err := r.WriteTable(w); err != nil {
+		return merry.Wrap(err)
+	}
+	for _, form := range []struct {
+		file  string
+		write func(io.Writer) error
+	}{{jsonFile, r.WriteJSON}, {svgFile, r.WriteSVG}} {
+		if form.file == "" {
+			continue
+		}
+		var content bytes.Buffer
+		if err := form.write(&content); err != nil {
+			return merry.Wrap(err)
+		}
+		if err := os.WriteFile(form.file, content.Bytes(), 0o644); err != nil {
+			return merry.Wrap(err)
+		}
+	}
+	if r.Crossed > 0 || r.Doubled > 0 {
+		return merry.Wrap(&AnswerError{Crossed: r.Crossed, Doubled: r.Doubled})
+	}
+	return nil
+}
