--- a/pkg/ownership/attach.go
+++ b/pkg/ownership/attach.go
@@ -13,6 +13,10 @@
 // drainParts is the part of a draining host's targets that are without attachment at the same time: one in four.
 const drainParts = 4
 
+// rebalanceInterval is the time between moves of attachments that only level the hosts; each one stops a target until
+// its requests have ended.
+const rebalanceInterval = 5 * time.Second
+
 func sortedKeys[V any](m map[string]V) []string {
 	return slices.Sorted(maps.Keys(m))
 }
@@ -39,7 +43,41 @@
 			})
 		}
 	}
-	return append(commands, d.detachments(now, records, hosts)...)
+	commands = append(commands, d.detachments(now, records, hosts)...)
+	return append(commands, d.rebalance(now, records, hosts)...)
+}
+
+// rebalance takes one target at a time from the host with the most weight, when a host with much less could have it. It
+// waits while any target is without host, since that one may level the hosts.
+func (d *Driver) rebalance(now time.Duration, records []*schemav1.TargetRecord, hosts []*hostLoad) []*schemav1.GroupCommand {
+	if len(hosts) < 2 || now-d.rebalancedAt < rebalanceInterval {
+		return nil
+	}
+	byWeight := func(a, b *hostLoad) int {
+		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.key.name, b.key.name))
+	}
+	least, most := slices.MinFunc(hosts, byWeight), slices.MaxFunc(hosts, byWeight)
+	var candidate *schemav1.TargetRecord
+	for _, record := range records {
+		switch {
+		case record.AttachedHost == "" && !record.Lost:
+			return nil
+		case candidate == nil && most.key == (holderKey{record.AttachedHost, record.AttachedIdentity}) &&
+			most.weight-least.weight >= 2*attachmentWeight(record):
+			candidate = record
+		}
+	}
+	if candidate == nil {
+		return nil
+	}
+	d.rebalancedAt = now
+	return []*schemav1.GroupCommand{detach(candidate)}
+}
+
+func detach(record *schemav1.TargetRecord) *schemav1.GroupCommand {
+	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_AttachTarget{AttachTarget: &schemav1.AttachTarget{
+		Target: record.Announcement.Target, ExpectedAttachment: record.Attachment,
+	}}}
 }
 
 // gathering tells whether a new leader still waits for hosts to renew.
@@ -148,11 +186,7 @@
 		}
 		allowed := max((len(attached)+between+drainParts-1)/drainParts-between, 0)
 		for _, record := range attached[:min(allowed, len(attached))] {
-			commands = append(commands, &schemav1.GroupCommand{Command: &schemav1.GroupCommand_AttachTarget{
-				AttachTarget: &schemav1.AttachTarget{
-					Target: record.Announcement.Target, ExpectedAttachment: record.Attachment,
-				},
-			}})
+			commands = append(commands, detach(record))
 		}
 	}
 	return commands
--- a/pkg/ownership/driver.go
+++ b/pkg/ownership/driver.go
@@ -54,13 +54,16 @@
 	announced  map[string]*schemav1.Announcement
 	planner    plannerState
 	hot        map[shardKey]*hotWatch
-	expiredAt  time.Duration
+	// rebalancedAt and expiredAt are the times of the last rebalancing and of the last removal of old records.
+	rebalancedAt time.Duration
+	expiredAt    time.Duration
 }
 
 // NewDriver returns the driver of a new leader. Clock is read once, for the start of the wait for earlier leases.
 func NewDriver(table *Table, clock lease.Clock, options Options) *Driver {
+	now := clock()
 	return &Driver{
-		table: table, options: options, startedAt: clock(), startIndex: table.Applied(),
+		table: table, options: options, startedAt: now, rebalancedAt: now, startIndex: table.Applied(),
 		holders: map[holderKey]*holder{}, targets: map[string]*targetWatch{},
 		announced: map[string]*schemav1.Announcement{}, hot: map[shardKey]*hotWatch{}, planner: newPlannerState(),
 	}
--- a/pkg/ownership/holders.go
+++ b/pkg/ownership/holders.go
@@ -34,9 +34,9 @@
 
 // detachment is the loss of an attachment that the last attached host may not know of yet.
 type detachment struct {
-	// attachment is the number of the record after the loss.
-	attachment uint64
-	holder     holderKey
+	// attachment is the number of the record after the loss, lost the one that was lost.
+	attachment, lost uint64
+	holder           holderKey
 	// index is a log index at which the loss was applied; at is when the leader saw it.
 	index uint64
 	at    time.Duration
@@ -92,16 +92,15 @@
 	d.observeReports(now, h)
 }
 
-// note takes over the promises of a report about the attachment that was lost. Attachment numbers of lost attachments
-// precede the record's number after the loss.
+// note takes over the promises of a report about the attachment that was lost.
 func (l *detachment) note(r report) {
 	if r.TargetReport == nil {
 		return
 	}
-	if r.ReleasedAttachment+1 == l.attachment {
+	if r.ReleasedAttachment == l.lost {
 		l.released = true
 	}
-	if r.StoppedAttachment+1 == l.attachment && !l.stopped {
+	if r.StoppedAttachment == l.lost && !l.stopped {
 		l.stopped, l.stoppedAt = true, r.at
 	}
 }
--- a/pkg/ownership/observe.go
+++ b/pkg/ownership/observe.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"time"
 
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -63,6 +64,12 @@
 	for _, record := range records {
 		d.observeTarget(now, record, index, first)
 	}
+	if len(d.targets) > len(records) {
+		maps.DeleteFunc(d.targets, func(name string, _ *targetWatch) bool {
+			_, registered := d.table.Target(name)
+			return !registered
+		})
+	}
 }
 
 func (d *Driver) observeTarget(now time.Duration, record *schemav1.TargetRecord, index uint64, first bool) {
@@ -114,7 +121,9 @@
 		return
 	}
 	key := holderKey{record.PreviousHost, record.PreviousIdentity}
-	watch.detached = &detachment{attachment: record.Attachment, holder: key, index: index, at: now}
+	watch.detached = &detachment{
+		attachment: record.Attachment, lost: record.PreviousAttachment, holder: key, index: index, at: now,
+	}
 	watch.detached.note(d.holder(key).reports[watch.name])
 }
 
--- a/pkg/ownership/place.go
+++ b/pkg/ownership/place.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	"almondrock.example/almondrock/pkg/decisionlog"
@@ -36,6 +37,8 @@
 	movedAt map[shardKey]time.Duration
 	// hot has the records of hot keys in this round.
 	hot map[shardKey]*schemav1.ShardRecord
+	// gathering is set while a service waits for its first targets.
+	gathering bool
 	// firstTarget is when the first target of a service was seen.
 	firstTarget map[string]time.Duration
 }
@@ -50,7 +53,7 @@
 	if !round && d.planner.index == d.table.Applied() && !d.waiting() {
 		return nil
 	}
-	d.planner.index = d.table.Applied()
+	d.planner.index, d.planner.gathering = d.table.Applied(), false
 	movesLeft := 0
 	if round {
 		d.planner.ran, d.planner.plannedAt = true, now
@@ -78,8 +81,12 @@
 	return commands
 }
 
-// waiting tells whether shards of lost targets wait for a lease to end, which changes nothing in the table.
+// waiting tells whether a service waits for targets, or shards of lost targets for a lease to end; the passing of that
+// time changes nothing in the table.
 func (d *Driver) waiting() bool {
+	if d.planner.gathering {
+		return true
+	}
 	for _, record := range d.table.Targets() {
 		if record.AttachedHost == "" && len(d.table.ShardsOf(record.Announcement.Target)) > 0 {
 			return true
@@ -134,6 +141,9 @@
 	}
 	if _, ok := d.planner.firstTarget[service]; !ok {
 		d.planner.firstTarget[service] = now
+		if d.anyEstablished(targets) {
+			d.planner.firstTarget[service] = now - firstTargetsTime
+		}
 	}
 	d.observeStragglers(now, targets)
 	input := &placement.Input{}
@@ -142,6 +152,7 @@
 		owned[shard.Target]++
 	}
 	if owned[""] == len(shards) && now-d.planner.firstTarget[service] < firstTargetsTime {
+		d.planner.gathering = true
 		return nil
 	}
 	for _, record := range targets {
@@ -153,6 +164,14 @@
 	return input
 }
 
+// anyEstablished tells whether a target was registered before this leader.
+func (d *Driver) anyEstablished(targets []*schemav1.TargetRecord) bool {
+	return slices.ContainsFunc(targets, func(record *schemav1.TargetRecord) bool {
+		watch := d.targets[record.Announcement.Target]
+		return watch != nil && watch.established
+	})
+}
+
 func (d *Driver) planTarget(now time.Duration, record *schemav1.TargetRecord, owner bool) placement.Target {
 	a := record.Announcement
 	watch := d.targets[a.Target]
--- a/pkg/ownership/snapshot.go
+++ b/pkg/ownership/snapshot.go
@@ -36,6 +36,7 @@
 	snapshot := &schemav1.GroupSnapshot{
 		Format: snapshotFormat, DataCentre: t.dataCentre, Generation: t.generation, FenceCounter: t.fenceCounter,
 		Targets: t.Targets(), Shards: t.Shards(), Records: t.records.sorted(), ControlView: t.view.Load(),
+		Applied: t.applied.Load(),
 	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	return encoded, merry.Wrap(err)
@@ -56,19 +57,31 @@
 	case snapshot.Generation > t.generation:
 		return snapshotError("generation", "generation %d, want at most %d", snapshot.Generation, t.generation)
 	}
-	t.mu.Lock()
-	t.load(&snapshot)
+	fresh := NewTable(t.dataCentre, t.generation)
+	fresh.load(&snapshot)
 	if snapshot.Generation < t.generation {
-		t.startGeneration()
+		fresh.startGeneration()
 	}
-	t.mu.Unlock()
+	t.adopt(fresh)
 	t.notify()
 	return nil
 }
 
+// adopt takes over the state of a table that nobody else uses.
+func (t *Table) adopt(fresh *Table) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fenceCounter, t.byOwner, t.records = fresh.fenceCounter, fresh.byOwner, fresh.records
+	t.delegations = fresh.delegations
+	t.view.Store(fresh.view.Load())
+	t.targets.Store(fresh.targets.Load())
+	t.keyspaces.Store(fresh.keyspaces.Load())
+	t.applied.Store(fresh.applied.Load())
+}
+
 func (t *Table) load(snapshot *schemav1.GroupSnapshot) {
-	t.reset()
 	t.fenceCounter = snapshot.FenceCounter
+	t.applied.Store(snapshot.Applied)
 	view := snapshot.ControlView
 	if view == nil {
 		view = &schemav1.ControlView{}
@@ -111,7 +124,9 @@
 	return k.service
 }
 
+// startGeneration makes a state of an earlier generation the first of this one, whose log starts anew.
 func (t *Table) startGeneration() {
+	t.applied.Store(0)
 	for _, target := range t.Targets() {
 		t.refenceShardsOf(target.Announcement.Target)
 		if target.AttachedHost != "" {
--- a/pkg/ownership/suite_test.go
+++ b/pkg/ownership/suite_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -113,3 +115,7 @@
 	}
 	return v
 }
+
+func sortedNames[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/pkg/ownership/table.go
+++ b/pkg/ownership/table.go
@@ -76,21 +76,16 @@
 
 // NewTable returns the empty table of a data centre group in the given generation.
 func NewTable(dataCentre string, generation uint64) *Table {
-	t := &Table{dataCentre: dataCentre, generation: generation}
-	t.reset()
-	ch := make(chan struct{})
-	t.changed.Store(&ch)
-	return t
-}
-
-func (t *Table) reset() {
-	t.fenceCounter = 0
-	t.byOwner = map[string]map[shardKey]*shardEntry{}
-	t.records = newRecordStore()
-	t.delegations = delegations{}
+	t := &Table{
+		dataCentre: dataCentre, generation: generation,
+		byOwner: map[string]map[shardKey]*shardEntry{}, records: newRecordStore(), delegations: delegations{},
+	}
 	t.view.Store(&schemav1.ControlView{})
 	t.keyspaces.Store(&map[string]*keyspaceState{})
 	t.targets.Store(&map[string]*targetState{})
+	ch := make(chan struct{})
+	t.changed.Store(&ch)
+	return t
 }
 
 // Assignment returns the owner of a key: the entry of the hot key if there is one, otherwise that of the shard. It
--- a/pkg/ownership/targets.go
+++ b/pkg/ownership/targets.go
@@ -13,6 +13,13 @@
 // many restarts.
 const maxPastBoots = 16
 
+// Bounds of the number of targets: from idleTargets on, lost ones without shards are forgotten, and beyond maxTargets
+// new ones are refused. A data centre of the size to design for has about 100.
+const (
+	idleTargets = 1024
+	maxTargets  = 4096
+)
+
 // generationShift puts the generation into the high half of attachment numbers, so that a number that was lost with
 // the tail of an earlier generation is never given out again.
 const generationShift = 32
@@ -25,6 +32,10 @@
 	}
 	state, ok := (*t.targets.Load())[announcement.Target]
 	if !ok {
+		t.forgetIdleTargets()
+		if len(*t.targets.Load()) >= maxTargets {
+			return false
+		}
 		t.addTarget(&schemav1.TargetRecord{Announcement: announcement})
 		return true
 	}
@@ -75,6 +86,22 @@
 	t.refenceShardsOf(announcement.Target)
 }
 
+// forgetIdleTargets removes lost targets without shards once there are many names, so that targets which come back
+// under ever new names don't fill the table.
+func (t *Table) forgetIdleTargets() {
+	targets := *t.targets.Load()
+	if len(targets) < idleTargets {
+		return
+	}
+	kept := maps.Clone(targets)
+	for name, state := range targets {
+		if state.published.Load().record.Lost && len(t.byOwner[name]) == 0 {
+			delete(kept, name)
+		}
+	}
+	t.targets.Store(&kept)
+}
+
 // markTargetLost marks the boot of a target as lost and detaches it.
 func (t *Table) markTargetLost(command *schemav1.MarkTargetLost) bool {
 	record, ok := t.Target(command.GetTarget())
@@ -108,7 +135,7 @@
 	}
 	t.updateTarget(record, func(r *schemav1.TargetRecord) {
 		r.AttachedHost, r.AttachedIdentity = command.Host, identity
-		r.PreviousHost, r.PreviousIdentity = "", 0
+		r.PreviousHost, r.PreviousIdentity, r.PreviousAttachment = "", 0, 0
 		r.Attachment = t.nextAttachment(r.Attachment)
 	})
 	t.refenceShardsOf(command.Target)
@@ -120,13 +147,16 @@
 	if r.AttachedHost == "" {
 		return
 	}
-	r.PreviousHost, r.PreviousIdentity = r.AttachedHost, r.AttachedIdentity
+	r.PreviousHost, r.PreviousIdentity, r.PreviousAttachment = r.AttachedHost, r.AttachedIdentity, r.Attachment
 	r.AttachedHost, r.AttachedIdentity = "", 0
 	r.Attachment = t.nextAttachment(r.Attachment)
 }
 
+// nextAttachment returns a number above all that the target had. It follows the counter of the group, so that this
+// also holds for a target that was forgotten in between.
 func (t *Table) nextAttachment(current uint64) uint64 {
-	return max(current, t.generation<<generationShift) + 1
+	t.fenceCounter++
+	return max(current, t.generation<<generationShift+t.fenceCounter) + 1
 }
 
 // hostIdentity returns the identity of a host of this data centre in the control view.
