Compose hosts, the dev deployment, the administration API and the commands

Cause: the packages had to become a running router: caller, ingress, attached host, target, with replicated state.

Change: pkg/host composes one process, pkg/dev a deployment on loopback, pkg/admin the HTTP API on echo; the program has the commands dev, host and target.

Before: nothing ran.

Open: the initial delegation is uneven because the first data centre to report gets all shards, and the ready line does not wait for owners.

--- a/pkg/cli/ctl/ctl.go
+++ b/pkg/cli/ctl/ctl.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"almondrock.example/almondrock/pkg/loadgen"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 	"almondrock.example/almondrock/pkg/settings"
 )
@@ -121,7 +122,8 @@
 	settings.Register(root.PersistentFlags(), t.settings)
 	// The error is about a flag that does not exist.
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"text", "json"}, cobra.ShellCompDirectiveNoFileComp))
-	root.AddCommand(t.checkCommand(), t.planCommand(), t.submitCommand(), t.statusCommand(), t.explainCommand(), t.versionCommand())
+	root.AddCommand(t.checkCommand(), t.planCommand(), t.submitCommand(), t.statusCommand(), t.explainCommand(),
+		loadgen.Command(), t.versionCommand())
 	return root
 }
 
--- a/pkg/cli/router/root.go
+++ b/pkg/cli/router/root.go
@@ -1,10 +1,7 @@
 package router
 
 import (
-	"flag"
-
 	"github.com/spf13/cobra"
-	"k8s.io/klog/v2"
 )
 
 // Command returns the root command of the almondrock program.
@@ -15,9 +12,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(logFlags)
-	root.PersistentFlags().AddGoFlag(logFlags.Lookup("v"))
-	root.AddCommand(devCommand())
+	root.AddCommand(devCommand(), hostCommand(), targetCommand())
 	return root
 }
--- a/pkg/host/control.go
+++ b/pkg/host/control.go
@@ -16,6 +16,7 @@
 	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/settings"
 	"almondrock.example/almondrock/pkg/wal"
 )
 
@@ -31,7 +32,7 @@
 // controlMember is this host's membership in the control group.
 type controlMember struct {
 	host  *Host
-	seeds []seed
+	seeds []settings.Member
 	state *control.State
 	log   *wal.Log
 	// identity is kept on the disk with the log.
@@ -45,7 +46,7 @@
 }
 
 // openControl opens the data folder. The replica starts later, when the group's members are known.
-func openControl(h *Host, seeds []seed) (*controlMember, error) {
+func openControl(h *Host, seeds []settings.Member) (*controlMember, error) {
 	log, err := wal.Open(filepath.Join(h.settings.GetDataDir(), "control"), wal.Options{})
 	if err != nil {
 		return nil, err
@@ -172,20 +173,20 @@
 func (c *controlMember) askSeeds(ctx context.Context) (members []*schemav1.Member, exists, complete bool) {
 	complete = true
 	for _, s := range c.seeds {
-		if s.name == c.host.settings.GetName() {
-			members = append(members, &schemav1.Member{Id: c.identity, Address: s.address})
+		if s.Name == c.host.settings.GetName() {
+			members = append(members, &schemav1.Member{Id: c.identity, Address: s.Address})
 			continue
 		}
 		response := &schemav1.BootstrapResponse{}
 		request := &schemav1.BootstrapRequest{Name: c.host.settings.GetName(), Identity: c.identity}
-		if err := c.host.call(ctx, s.address, methodBootstrap, request, response); err != nil {
+		if err := c.host.call(ctx, s.Address, methodBootstrap, request, response); err != nil {
 			complete = false
 			continue
 		}
 		if response.GetExists() {
 			return response.GetMembers(), true, true
 		}
-		members = append(members, &schemav1.Member{Id: response.GetIdentity(), Address: s.address})
+		members = append(members, &schemav1.Member{Id: response.GetIdentity(), Address: s.Address})
 	}
 	return members, false, complete
 }
@@ -198,7 +199,7 @@
 	}
 	for _, s := range c.seeds {
 		response := &schemav1.AddMemberResponse{}
-		if s.name != c.host.settings.GetName() && c.host.call(ctx, s.address, methodAddMember, request, response) == nil && response.GetAnswered() {
+		if s.Name != c.host.settings.GetName() && c.host.call(ctx, s.Address, methodAddMember, request, response) == nil && response.GetAnswered() {
 			return true
 		}
 	}
@@ -230,8 +231,8 @@
 	if status := replica.Status(); status.Role != raft.Leader {
 		return &schemav1.AddMemberResponse{LeaderAddress: status.LeaderAddress}, nil
 	}
-	named := slices.ContainsFunc(c.seeds, func(s seed) bool {
-		return s.name == request.GetName() && s.address == request.GetMember().GetAddress()
+	named := slices.ContainsFunc(c.seeds, func(s settings.Member) bool {
+		return s.Name == request.GetName() && s.Address == request.GetMember().GetAddress()
 	})
 	if !named {
 		return &schemav1.AddMemberResponse{}, nil
--- a/pkg/host/controlclient.go
+++ b/pkg/host/controlclient.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
-	"almondrock.example/almondrock/pkg/raft"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -64,7 +63,7 @@
 func (h *Host) seedAddresses() []string {
 	addresses := make([]string, 0, len(h.seeds))
 	for _, s := range h.seeds {
-		addresses = append(addresses, s.address)
+		addresses = append(addresses, s.Address)
 	}
 	return addresses
 }
@@ -211,12 +210,6 @@
 	return capacity
 }
 
-// isControlLeader reports whether this host leads the control group.
-func (h *Host) isControlLeader() bool {
-	replica, _ := h.control.parts()
-	return replica != nil && replica.Status().Role == raft.Leader
-}
-
 // pause waits for d and reports false when ctx ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/pkg/host/groupservice.go
+++ b/pkg/host/groupservice.go
@@ -22,6 +22,8 @@
 	rpc.Register(server, methodPropose, h.handlePropose)
 	rpc.Register(server, methodAnnounce, h.handleAnnounce)
 	rpc.Register(server, methodSeal, h.handleSeal)
+	rpc.Register(server, methodExplain, h.handleExplain)
+	rpc.Register(server, methodStatus, h.handleStatus)
 	if h.control == nil {
 		return
 	}
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -18,6 +18,7 @@
 	"almondrock.example/almondrock/pkg/proxy"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/settings"
 	"almondrock.example/almondrock/pkg/target"
 )
 
@@ -38,7 +39,7 @@
 type Host struct {
 	options   Options
 	settings  *schemav1.HostSettings
-	seeds     []seed
+	seeds     []settings.Member
 	addresses addresses
 	listeners *Listeners
 	identity  uint64
@@ -76,10 +77,8 @@
 	h.clock = func() time.Duration { return time.Since(start) }
 	h.lease = lease.NewHolder(h.clock)
 	h.decisions = decisionlog.New(h.settings.GetName(), h.settings.GetLogDecisions())
+	h.seeds = settings.Members(h.settings.GetSeeds())
 	var err error
-	if h.seeds, err = parseSeeds(h.settings.GetSeeds()); err != nil {
-		return nil, err
-	}
 	if err := h.openIdentity(); err != nil {
 		return nil, err
 	}
@@ -123,7 +122,7 @@
 
 func (h *Host) isSeed() bool {
 	for _, s := range h.seeds {
-		if s.name == h.settings.GetName() {
+		if s.Name == h.settings.GetName() {
 			return true
 		}
 	}
--- a/pkg/host/loops.go
+++ b/pkg/host/loops.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/metrics"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -15,7 +13,6 @@
 func (h *Host) leaderLoop(ctx context.Context) {
 	for pause(ctx, leaderStep) {
 		if g := h.group.Load(); g != nil {
-			h.views.offer(g.table.ControlView())
 			stepContext, cancel := context.WithTimeout(ctx, callTimeout)
 			g.step(stepContext)
 			cancel()
@@ -103,7 +100,9 @@
 func (h *Host) sync(ctx context.Context, g *group) {
 	// Read first: what the manager has been told of may be newer than this index, never older.
 	applied := g.table.Applied()
-	h.views.offer(g.table.ControlView())
+	if h.views.offer(g.table.ControlView()) {
+		h.shareLink(h.views.get())
+	}
 	var mine []*schemav1.TargetRecord
 	for _, record := range g.table.TargetsAttachedTo(h.settings.GetName()) {
 		// An attachment of an earlier process of this host is not this one's.
@@ -142,10 +141,3 @@
 	defer h.mu.Unlock()
 	return h.clock() - h.controlSeen
 }
-
-// logStopped reports a loop that ended with an error.
-func logStopped(what string, err error) {
-	if err != nil {
-		klog.ErrorS(err, "stopped", "what", what)
-	}
-}
--- a/pkg/host/methods.go
+++ b/pkg/host/methods.go
@@ -12,6 +12,8 @@
 	methodPropose   = "Group.Propose"
 	methodAnnounce  = "Group.Announce"
 	methodSeal      = "Group.Seal"
+	methodExplain   = "Group.Explain"
+	methodStatus    = "Host.Status"
 )
 
 // controlGroup is the name of the control group in Raft batches.
--- a/pkg/host/ready.go
+++ b/pkg/host/ready.go
@@ -2,13 +2,8 @@
 
 import (
 	"strings"
-	"time"
 )
 
-// staleAfter is how long a host may go without news of its group before it counts as cut off; a revision must be in
-// force everywhere within that time.
-const staleAfter = 5 * time.Second
-
 // Readiness tells whether the balancer should send callers here.
 type Readiness struct {
 	OK bool
--- a/pkg/host/stop.go
+++ b/pkg/host/stop.go
@@ -26,7 +26,7 @@
 	h.https = append(h.https, server)
 	h.tasks.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			logStopped("HTTP server", err)
+			klog.ErrorS(err, "HTTP server stopped", "address", listener.Addr())
 		}
 	})
 }
--- a/pkg/host/views.go
+++ b/pkg/host/views.go
@@ -24,20 +24,20 @@
 	current atomic.Pointer[compiledView]
 }
 
-// offer installs view if it is newer than the present one.
-func (s *viewStore) offer(view *schemav1.ControlView) {
+// offer installs view if it is newer than the present one, and reports whether it did.
+func (s *viewStore) offer(view *schemav1.ControlView) bool {
 	for {
 		current := s.current.Load()
 		if current != nil && current.view.GetIndex() >= view.GetIndex() {
-			return
+			return false
 		}
 		next, err := compileView(view, current)
 		if err != nil {
 			klog.ErrorS(err, "cannot compile the configuration", "revision", view.GetConfiguration().GetRevision())
-			return
+			return false
 		}
 		if s.current.CompareAndSwap(current, next) {
-			return
+			return true
 		}
 	}
 }
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -51,6 +51,13 @@
 	TagResult     = "result"
 )
 
+// sanitizer replaces characters that the text format does not allow in names. Values of tags may be anything.
+var sanitizer = func() tally.SanitizeOptions {
+	options := prometheus.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', '~'}}}
+	return options
+}()
+
 // reportInterval is how often tally pushes values to the reporter.
 const reportInterval = time.Second
 
@@ -71,11 +78,10 @@
 		OnRegisterError: func(err error) { klog.ErrorS(err, "metric not registered") },
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "almondrock",
-		Tags:           map[string]string{"host": host, TagDataCentre: dataCentre},
-		CachedReporter: reporter,
-		// Prometheus allows letters, digits and underscores only.
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		Prefix:                 "almondrock",
+		Tags:                   map[string]string{"host": host, TagDataCentre: dataCentre},
+		CachedReporter:         reporter,
+		SanitizeOptions:        &sanitizer,
 		OmitCardinalityMetrics: true,
 		Separator:              prometheus.DefaultSeparator,
 	}, reportInterval)
