--- a/pkg/cli/ctl/ctl.go
+++ b/pkg/cli/ctl/ctl.go
@@ -23,7 +23,8 @@
 	ExitRefused = 1
 	// ExitUsage means wrong arguments, settings, or files that can't be read; nothing was sent.
 	ExitUsage = 2
-	// ExitUnreachable means that no usable answer came; the outcome of a submission is then unknown.
+	// ExitUnreachable means that no usable answer came, or that it can't be written; the outcome of a submission is then
+	// unknown.
 	ExitUnreachable = 3
 )
 
@@ -86,6 +87,10 @@
 	if errors.As(err, &unreachable) {
 		return ExitUnreachable, "almondctl: " + unreachable.Error()
 	}
+	var output *OutputError
+	if errors.As(err, &output) {
+		return ExitUnreachable, "almondctl: " + output.Error()
+	}
 	var invalid *settings.InvalidError
 	if errors.As(err, &invalid) {
 		return ExitUsage, invalid.Error()
@@ -106,7 +111,7 @@
   0  done
   1  refused: the files, the change or the request; nothing has changed
   2  wrong arguments, settings, or files that can't be read; nothing was sent
-  3  unreachable: no usable answer; send a submission again with the same --id
+  3  unreachable: no usable answer, or it can't be written; send a submission again with the same --id
 
 Each flag with a variable in brackets can be set by that variable; the flag wins.`
 
--- a/pkg/cli/ctl/errors.go
+++ b/pkg/cli/ctl/errors.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"fmt"
 	"strings"
 
 	"almondrock.example/almondrock/pkg/config"
@@ -33,13 +34,16 @@
 	Reason string
 	// SubmissionID is set when the outcome of that submission is unknown.
 	SubmissionID string
+	// BasedOn is the revision of that submission. A resend that never arrived before must conflict with changes since.
+	BasedOn uint64
 }
 
 // Error says how to find out about a submission.
 func (e *UnreachableError) Error() string {
 	text := "no answer from " + e.Address + ": " + e.Reason
 	if e.SubmissionID != "" {
-		text += "\nThe outcome of the submission is unknown. Submit the same files with --id " + e.SubmissionID + " to learn it."
+		text += fmt.Sprintf("\nThe outcome of the submission is unknown. Submit the same files with --id %s --based-on %d to learn it.",
+			e.SubmissionID, e.BasedOn)
 	}
 	return text
 }
--- a/pkg/cli/ctl/submit.go
+++ b/pkg/cli/ctl/submit.go
@@ -50,7 +50,7 @@
 		return t.submit(command, &flags, command.Flags().Changed("based-on"))
 	}
 	flags.sources.register(command)
-	command.Flags().StringVar(&flags.id, "id", "", "submission id; give the id of an earlier run to learn its outcome (default drawn at random)")
+	command.Flags().StringVar(&flags.id, "id", "", "submission id; give that of an earlier run to learn its outcome (default drawn at random)")
 	command.Flags().Uint64Var(&flags.basedOn, "based-on", 0, "revision that the files are based on (default the one in force)")
 	return command
 }
@@ -75,7 +75,7 @@
 		submission.Id = t.NewID()
 	}
 	submission.SubmittedUnixMs = t.Now().UnixMilli()
-	outcome, err := t.submitUntilAnswered(ctx, api, submission)
+	outcome, err := t.submitUntilAnswered(ctx, api, submission, flags.id != "")
 	if err != nil {
 		return err
 	}
@@ -83,24 +83,34 @@
 }
 
 // submitUntilAnswered resends the same submission until an answer comes or the time is over. A refusal without an
-// outcome is an answer too.
-func (t *tool) submitUntilAnswered(ctx context.Context, api API, submission *schemav1.Submission) (*schemav1.SubmissionOutcome, error) {
+// outcome is an answer too, unless the submission was sent before: it says nothing about earlier attempts, which may have
+// taken effect.
+func (t *tool) submitUntilAnswered(ctx context.Context, api API, submission *schemav1.Submission, sentBefore bool) (*schemav1.SubmissionOutcome, error) {
 	pause := firstPause
 	for {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 		outcome, err := api.Submit(attempt, submission)
 		cancel()
 		var unreachable *UnreachableError
-		if !errors.As(err, &unreachable) {
+		var refused *RefusedError
+		switch {
+		case errors.As(err, &unreachable):
+		case errors.As(err, &refused) && sentBefore:
+			return nil, t.unknownOutcome(submission, refused.Error())
+		default:
 			return outcome, err
 		}
 		if t.Sleep(ctx, pause) != nil {
-			return nil, merry.Wrap(&UnreachableError{Address: unreachable.Address, Reason: unreachable.Reason, SubmissionID: submission.GetId()})
+			return nil, t.unknownOutcome(submission, unreachable.Reason)
 		}
-		pause = min(2*pause, longestPause)
+		pause, sentBefore = min(2*pause, longestPause), true
 	}
 }
 
+func (t *tool) unknownOutcome(submission *schemav1.Submission, reason string) error {
+	return merry.Wrap(&UnreachableError{Address: t.settings.GetAddress(), Reason: reason, SubmissionID: submission.GetId(), BasedOn: submission.GetBasedOn()})
+}
+
 // report prints the outcome; a conflict or refusal is an error.
 func (t *tool) report(ctx context.Context, api API, submission *schemav1.Submission, configuration *schemav1.Configuration, outcome *schemav1.SubmissionOutcome) error {
 	switch outcome.GetVerdict() {
--- a/pkg/config/check_services.go
+++ b/pkg/config/check_services.go
@@ -97,38 +97,69 @@
 
 // checkCommonRegions reports each place whose home regions leave no region for some request.
 func (c *checker) checkCommonRegions() {
+	sets := c.tenantSets()
 	for i, service := range c.configuration.GetServices() {
-		path := fmt.Sprintf("services[%d]", i)
+		own := c.known(service.GetHomeRegions())
 		for j, route := range service.GetRoutes() {
-			routePath := fmt.Sprintf("%s.routes[%d].home_regions", path, j)
-			if _, ok := intersect(c.known(service.GetHomeRegions()), c.known(route.GetHomeRegions())); !ok {
-				c.add(routePath, RuleNoCommonRegion, "name a region of the service's home_regions",
-					"%s has no region in common with service %s", routePath, quote(service.GetName()))
+			path := fmt.Sprintf("services[%d].routes[%d].home_regions", i, j)
+			if _, ok := intersect(own, c.known(route.GetHomeRegions())); !ok {
+				c.add(path, RuleNoCommonRegion, "name a region of the service's home_regions",
+					"%s has no region in common with service %s", path, quote(service.GetName()))
 			}
 		}
-		for j, tenant := range c.configuration.GetTenants() {
-			c.checkTenantRegions(service, tenant, fmt.Sprintf("tenants[%d].home_regions", j))
+		for _, set := range sets {
+			c.checkTenantSet(service, own, set)
 		}
 	}
 }
 
-func (c *checker) checkTenantRegions(service *schemav1.Service, tenant *schemav1.Tenant, path string) {
-	own := c.known(tenant.GetHomeRegions())
-	common, ok := intersect(c.known(service.GetHomeRegions()), own)
+// tenantSet is a set of home regions and the indexes of the tenants that have it. Thousands of tenants share a few
+// sets, and every host checks every revision.
+type tenantSet struct {
+	regions []string
+	tenants []int
+}
+
+func (c *checker) tenantSets() []*tenantSet {
+	var sets []*tenantSet
+	byID := map[string]*tenantSet{}
+	for i, tenant := range c.configuration.GetTenants() {
+		regions := c.known(tenant.GetHomeRegions())
+		slices.Sort(regions)
+		id := strings.Join(regions, "+")
+		if byID[id] == nil {
+			byID[id] = &tenantSet{regions: regions}
+			sets = append(sets, byID[id])
+		}
+		byID[id].tenants = append(byID[id].tenants, i)
+	}
+	return sets
+}
+
+func (c *checker) checkTenantSet(service *schemav1.Service, own []string, set *tenantSet) {
+	common, ok := intersect(own, set.regions)
 	if !ok {
-		c.add(path, RuleNoCommonRegion, "name a region of the service's home_regions",
-			"%s has no region in common with service %s", path, quote(service.GetName()))
+		c.addTenants(set, "service", fmt.Sprintf("service %s", quote(service.GetName())))
 		return
 	}
 	for _, route := range service.GetRoutes() {
-		_, withService := intersect(c.known(service.GetHomeRegions()), c.known(route.GetHomeRegions()))
-		if _, ok := intersect(common, c.known(route.GetHomeRegions())); !ok && withService {
-			c.add(path, RuleNoCommonRegion, "name a region of the route's home_regions",
-				"%s has no region in common with route %s of service %s", path, quote(route.GetPathPrefix()), quote(service.GetName()))
+		regions := c.known(route.GetHomeRegions())
+		if _, ok := intersect(common, regions); ok {
+			continue
+		}
+		if _, withService := intersect(own, regions); withService {
+			c.addTenants(set, "route", fmt.Sprintf("route %s of service %s", quote(route.GetPathPrefix()), quote(service.GetName())))
 		}
 	}
 }
 
+func (c *checker) addTenants(set *tenantSet, kind, other string) {
+	for _, i := range set.tenants {
+		path := fmt.Sprintf("tenants[%d].home_regions", i)
+		c.add(path, RuleNoCommonRegion, "name a region of the "+kind+"'s home_regions", "%s has no region in common with %s", path, other)
+	}
+}
+
 // known leaves out unknown regions, which have their own problem. All unknown gives no restriction.
 func (c *checker) known(names []string) []string {
 	var known []string
--- a/pkg/config/compile.go
+++ b/pkg/config/compile.go
@@ -160,7 +160,7 @@
 
 func (s *Snapshot) compileService(service *schemav1.Service, sets [][]string) {
 	compiled := &compiledService{service: service, routes: map[string]*compiledRoute{}}
-	seen := map[string]bool{}
+	seen := map[string]routeRegions{}
 	for _, route := range service.GetRoutes() {
 		prefix := cleanPrefix(route.GetPathPrefix())
 		compiled.longestPrefix = max(compiled.longestPrefix, len(prefix))
@@ -169,7 +169,7 @@
 	s.services[service.GetName()] = compiled
 }
 
-func (s *Snapshot) compileRoute(service *schemav1.Service, route *schemav1.Route, sets [][]string, seen map[string]bool) *compiledRoute {
+func (s *Snapshot) compileRoute(service *schemav1.Service, route *schemav1.Route, sets [][]string, seen map[string]routeRegions) *compiledRoute {
 	compiled := &compiledRoute{
 		methods: slices.Clone(route.GetIdempotentMethods()),
 		resolution: Resolution{
@@ -182,14 +182,17 @@
 	for _, set := range sets {
 		home, _ := intersect(own, set)
 		id := keyspace.ID(service.GetName(), home)
-		compiled.byRegionSet = append(compiled.byRegionSet, routeRegions{keyspace: id, homeRegions: home})
-		if !seen[id] {
-			seen[id] = true
+		// The routes of a service share the strings and slices of their keyspaces.
+		regions, known := seen[id]
+		if !known {
+			regions = routeRegions{keyspace: id, homeRegions: home}
+			seen[id] = regions
 			exclusive := service.GetKind() == schemav1.ServiceKind_SERVICE_KIND_EXCLUSIVE
 			s.keyspaces = append(s.keyspaces, Keyspace{
 				ID: id, Service: service.GetName(), HomeRegions: home, Shards: service.GetShards(), Exclusive: exclusive,
 			})
 		}
+		compiled.byRegionSet = append(compiled.byRegionSet, regions)
 	}
 	return compiled
 }
--- a/pkg/config/danger.go
+++ b/pkg/config/danger.go
@@ -124,15 +124,13 @@
 
 type named interface{ GetName() string }
 
-// byName returns the element with the name and its index, or the zero element and -1.
-func byName[T named](list []T, name string) (T, int) {
-	for i, element := range list {
-		if element.GetName() == name {
-			return element, i
-		}
+// indexOf maps the names of a list to their elements.
+func indexOf[T named](list []T) map[string]T {
+	byName := make(map[string]T, len(list))
+	for _, element := range list {
+		byName[element.GetName()] = element
 	}
-	var none T
-	return none, -1
+	return byName
 }
 
 func isInService(site *schemav1.DataCentre) bool {
@@ -140,26 +138,23 @@
 }
 
 func (c *change) sites() {
-	inService := 0
+	old, next := indexOf(c.old.GetDataCentres()), indexOf(c.next.GetDataCentres())
 	for i, site := range c.next.GetDataCentres() {
 		path := fmt.Sprintf("data_centres[%d]", i)
-		if isInService(site) {
-			inService++
-		}
-		before, at := byName(c.old.GetDataCentres(), site.GetName())
-		if at >= 0 && before.GetRegion() != site.GetRegion() {
+		before, existed := old[site.GetName()]
+		if existed && before.GetRegion() != site.GetRegion() {
 			c.add(DangerDataCentreRegion, path+".region", "data centre %s moves to region %s", site.GetName(), site.GetRegion())
 		}
-		if at >= 0 && site.GetLost() && !before.GetLost() {
+		if existed && site.GetLost() && !before.GetLost() {
 			c.add(DangerDataCentreLost, path+".lost", "data centre %s is declared lost", site.GetName())
 		}
 	}
 	for _, site := range c.old.GetDataCentres() {
-		if _, at := byName(c.next.GetDataCentres(), site.GetName()); at < 0 && isInService(site) {
+		if next[site.GetName()] == nil && isInService(site) {
 			c.add(DangerRemoveDataCentre, "data_centres", "data centre %s is removed while in service", site.GetName())
 		}
 	}
-	if inService == 0 && len(sitesInService(c.old, "")) > 0 {
+	if len(sitesInService(c.next, "")) == 0 && len(sitesInService(c.old, "")) > 0 {
 		c.add(DangerAllOut, "data_centres", "all data centres are out")
 	}
 }
@@ -176,10 +171,10 @@
 }
 
 func (c *change) regions() {
-	homes := homeRegionsInUse(c.next)
+	homes, next := homeRegionsInUse(c.next), indexOf(c.next.GetRegions())
 	for _, region := range c.old.GetRegions() {
 		name := region.GetName()
-		if _, at := byName(c.next.GetRegions(), name); at < 0 {
+		if next[name] == nil {
 			c.add(DangerRemoveRegion, "regions", "region %s is removed", name)
 			continue
 		}
@@ -190,14 +185,16 @@
 	}
 }
 
-// lastSitePath is the field that takes the first of the sites out.
+// lastSitePath is the field that takes the first of the data centres out.
 func (c *change) lastSitePath(before []*schemav1.DataCentre) string {
-	for _, site := range before {
-		if after, at := byName(c.next.GetDataCentres(), site.GetName()); at >= 0 {
-			if after.GetLost() {
-				return fmt.Sprintf("data_centres[%d].lost", at)
-			}
-			return fmt.Sprintf("data_centres[%d].out", at)
+	old := indexOf(before)
+	for i, site := range c.next.GetDataCentres() {
+		switch {
+		case old[site.GetName()] == nil:
+		case site.GetLost():
+			return fmt.Sprintf("data_centres[%d].lost", i)
+		case site.GetOut():
+			return fmt.Sprintf("data_centres[%d].out", i)
 		}
 	}
 	return "data_centres"
--- a/pkg/config/danger_keys.go
+++ b/pkg/config/danger_keys.go
@@ -13,9 +13,10 @@
 // different times, so a key whose keyspace changes in place would have one owner per revision (I1).
 
 func (c *change) tenants() {
+	old := indexOf(c.old.GetTenants())
 	for i, tenant := range c.next.GetTenants() {
-		before, at := byName(c.old.GetTenants(), tenant.GetName())
-		if at >= 0 && !sameRegions(before.GetHomeRegions(), tenant.GetHomeRegions()) {
+		before, existed := old[tenant.GetName()]
+		if existed && !sameRegions(before.GetHomeRegions(), tenant.GetHomeRegions()) {
 			c.add(DangerTenantRegions, fmt.Sprintf("tenants[%d].home_regions", i),
 				"tenant %s changes its home regions from %s to %s", tenant.GetName(),
 				regionText(before.GetHomeRegions()), regionText(tenant.GetHomeRegions()))
@@ -24,13 +25,14 @@
 }
 
 func (c *change) services() {
+	old, next := indexOf(c.old.GetServices()), indexOf(c.next.GetServices())
 	for _, service := range c.old.GetServices() {
-		if _, at := byName(c.next.GetServices(), service.GetName()); at < 0 {
+		if next[service.GetName()] == nil {
 			c.add(DangerRemoveService, "services", "service %s is removed", service.GetName())
 		}
 	}
 	for i, service := range c.next.GetServices() {
-		if before, at := byName(c.old.GetServices(), service.GetName()); at >= 0 {
+		if before := old[service.GetName()]; before != nil {
 			c.service(before, service, fmt.Sprintf("services[%d]", i))
 		}
 	}
