Accept a byte order mark and keep control characters out of messages

Cause: a file saved with a byte order mark gave a misleading unknown field and follow-up problems. Messages of the YAML parser and names chosen by other operators reached the terminal as they were.

Change: the mark is skipped; control characters are removed or quoted; empty values are described as such.

--- a/pkg/cli/ctl/ctl_test.go
+++ b/pkg/cli/ctl/ctl_test.go
@@ -226,7 +226,7 @@
 		fake.verdict = &schemav1.SubmissionOutcome{Verdict: schemav1.SubmissionOutcome_VERDICT_CONFLICT, Revision: 8, WinnerId: "theirs", WinnerOperator: "bo"}
 		r := run(fake, nil, append(submit, "--based-on", "7")...)
 		Expect(r.code).To(Equal(ctl.ExitRefused))
-		Expect(r.out).To(Equal("revision 8 was won by bo (submission theirs)\nyour files would change revision 8 as follows:\n" +
+		Expect(r.out).To(Equal("revision 8 was won by \"bo\" (submission \"theirs\")\nyour files would change revision 8 as follows:\n" +
 			"  services[desk].shards: 16 -> 32\n"))
 		Expect(r.err).To(Equal("conflict: the files are based on revision 7, but revision 8 is in force\n"))
 	})
--- a/pkg/cli/ctl/submit.go
+++ b/pkg/cli/ctl/submit.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -134,11 +135,12 @@
 // conflictText tells who won, and the difference if the revision in force can be read.
 func (t *tool) conflictText(ctx context.Context, api API, configuration *schemav1.Configuration, outcome *schemav1.SubmissionOutcome) string {
 	w := &textWriter{}
-	winner := outcome.GetWinnerOperator()
-	if winner == "" {
+	// Both were chosen by somebody else; quotes keep control characters from the terminal.
+	winner := strconv.Quote(outcome.GetWinnerOperator())
+	if outcome.GetWinnerOperator() == "" {
 		winner = "an operator without a name"
 	}
-	w.line("revision %d was won by %s (submission %s)", outcome.GetRevision(), winner, outcome.GetWinnerId())
+	w.line("revision %d was won by %s (submission %q)", outcome.GetRevision(), winner, outcome.GetWinnerId())
 	inForce, err := api.Configuration(ctx)
 	if err != nil {
 		w.line("the difference is not known: %s", strings.ReplaceAll(err.Error(), "\n", " "))
--- a/pkg/config/decode.go
+++ b/pkg/config/decode.go
@@ -56,7 +56,7 @@
 		}
 		at := d.at(entry.Key)
 		if line, twice := seen[name]; twice {
-			d.problems.add(at, RuleDuplicateField, "keep one of them", "%s is set twice; the first is on line %d", name, line)
+			d.problems.add(at, RuleDuplicateField, "keep one of them", "%s is set twice; the first is on line %d", quote(name), line)
 			continue
 		}
 		seen[name] = at.line
@@ -251,7 +251,7 @@
 	case *ast.SequenceNode:
 		return "a list"
 	case *ast.NullNode:
-		return "empty"
+		return "an empty value"
 	case *ast.BoolNode:
 		return node.Token.Value
 	case *ast.IntegerNode, *ast.FloatNode:
--- a/pkg/config/limits_test.go
+++ b/pkg/config/limits_test.go
@@ -52,8 +52,8 @@
 })
 
 // An operator who edits on another system still gets the right lines.
-var _ = It("counts lines with carriage returns", func() {
-	base := strings.ReplaceAll(spoil(validBase, "shards: 16", "shards: 17"), "\n", "\r\n")
+var _ = It("counts lines with a byte order mark and carriage returns", func() {
+	base := "\ufeff" + strings.ReplaceAll(spoil(validBase, "shards: 16", "shards: 17"), "\n", "\r\n")
 	_, lines := load(base)
 	Expect(lines).To(ConsistOf(HavePrefix("base.yaml:13:5: ")))
 })
--- a/pkg/config/source.go
+++ b/pkg/config/source.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strings"
+	"unicode"
 	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
@@ -56,7 +57,8 @@
 			problems.add(start, RuleSyntax, "check the YAML syntax", "the file can't be parsed as YAML")
 		}
 	}()
-	text := strings.ReplaceAll(string(file.Content), "\r\n", "\n")
+	// Some editors write a byte order mark and carriage returns.
+	text := strings.ReplaceAll(strings.TrimPrefix(string(file.Content), "\ufeff"), "\r\n", "\n")
 	tokens := lexer.Tokenize(text)
 	if !scanTokens(tokens, start, problems) {
 		return nil
@@ -91,11 +93,21 @@
 	at, message := start, "the file can't be parsed as YAML"
 	var syntax *yaml.SyntaxError
 	if errors.As(err, &syntax) {
-		at, message = start.of(syntax.Token), syntax.Message
+		at, message = start.of(syntax.Token), printable(syntax.Message)
 	}
 	problems.add(at, RuleSyntax, "check the YAML syntax", "%s", message)
 }
 
+// printable removes control characters, since the parser's messages may repeat text of the file.
+func printable(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return -1
+		}
+		return r
+	}, text)
+}
+
 // of returns the place of tok in the file of p.
 func (p position) of(tok *token.Token) position {
 	if tok != nil && tok.Position != nil {
@@ -109,6 +121,9 @@
 	if mapping, ok := node.(*ast.MappingNode); ok && len(mapping.Values) > 0 {
 		node = mapping.Values[0].Key
 	}
+	if node == nil {
+		return p
+	}
 	return p.of(node.GetToken())
 }
 
