Attribute load to hot keys and spread shards by a share of the capacity

Cause: with one key taking 0.3 of a target and little other load, the planner made 12 moves in 10 s and emptied the target of its other shards (31 moves in 10 min, 5 9 1 1 shards on 4 targets): the target's load was smeared over all its shards, and the base load of idle shards was a part of the mean load, which is small then. A key seen for 29 s was split on the strength of its last report after 1 s of silence.

Change: the load of a hot key counts for its own entry, or for its shard before the split; the base load is a fifth of the capacity, spread equally; a split needs 30 s between reports.

--- a/pkg/ownership/hotkeys.go
+++ b/pkg/ownership/hotkeys.go
@@ -40,6 +40,29 @@
 	aboveSince, belowSince time.Duration
 }
 
+// hotShares are the shares of hot keys by their own record, or that of their shard before the split, and by target.
+type hotShares struct {
+	byShard  map[shardKey]float64
+	byTarget map[string]float64
+}
+
+func (d *Driver) hotShares() hotShares {
+	shares := hotShares{byShard: map[shardKey]float64{}, byTarget: map[string]float64{}}
+	split := d.table.hotRecords()
+	for key, watch := range d.hot {
+		record := split[key]
+		if record == nil {
+			shards, _ := d.table.shardCount(key.keyspace)
+			record = d.table.shardRecord(key.keyspace, keyspace.Shard(key.keyHash, max(shards, 1)))
+		}
+		if record != nil {
+			shares.byShard[keyOf(record)] += watch.share
+			shares.byTarget[record.Target] += watch.share
+		}
+	}
+	return shares
+}
+
 func hotKey(keyspaceID string, keyHash uint64) shardKey {
 	return shardKey{keyspace: keyspaceID, hot: true, keyHash: keyHash}
 }
@@ -76,7 +99,7 @@
 		switch {
 		case !isSplit && !watch.above:
 			delete(d.hot, key)
-		case !isSplit && now-watch.aboveSince >= splitTime:
+		case !isSplit && watch.reportedAt-watch.aboveSince >= splitTime:
 			commands = append(commands, d.split(key)...)
 		case isSplit && watch.below && now-watch.belowSince >= mergeTime:
 			commands = append(commands, d.merge(now, record)...)
--- a/pkg/ownership/place.go
+++ b/pkg/ownership/place.go
@@ -35,8 +35,8 @@
 	moves []time.Duration
 	// movedAt has the shards that moved lately.
 	movedAt map[shardKey]time.Duration
-	// hot has the records of hot keys in this round.
-	hot map[shardKey]*schemav1.ShardRecord
+	// hot has the shares of hot keys in this round.
+	hot hotShares
 	// gathering is set while a service waits for its first targets.
 	gathering bool
 	// firstTarget is when the first target of a service was seen.
@@ -61,7 +61,7 @@
 	}
 	var commands []*schemav1.GroupCommand
 	shards := d.table.planShards()
-	d.planner.hot = d.table.hotRecords()
+	d.planner.hot = d.hotShares()
 	for _, service := range d.exclusiveServices() {
 		input := d.planInput(now, service, shards[service])
 		if finished := d.finishable(now, shards[service]); len(finished) > 0 {
@@ -215,26 +215,17 @@
 	}
 	shard.Pinned = moving || owner.AttachedHost == ""
 	capacity := float64(max(min(owner.Announcement.Slots, maxSlots), 1))
-	if hot := d.hot[hotKey(record.Keyspace, record.KeyHash)]; record.Hot && hot != nil {
-		shard.Load = hot.share * capacity
-		shard.Pinned = shard.Pinned || hot.below
+	shard.Load = d.planner.hot.byShard[keyOf(record)] * capacity
+	if record.Hot {
+		// A key that cools down is about to return to its shard.
+		hot := d.hot[hotKey(record.Keyspace, record.KeyHash)]
+		shard.Pinned = shard.Pinned || hot != nil && hot.below
 		return shard
 	}
-	shard.Load = max(watch.utilisation-d.hotShares(record.Target), 0) * capacity / float64(max(ownersShards, 1))
+	shard.Load += max(watch.utilisation-d.planner.hot.byTarget[record.Target], 0) * capacity / float64(max(ownersShards, 1))
 	return shard
 }
 
-// hotShares is the part of a target's capacity that its hot keys with entries of their own take.
-func (d *Driver) hotShares(target string) float64 {
-	shares := 0.0
-	for key, record := range d.planner.hot {
-		if watch := d.hot[key]; watch != nil && record.Target == target {
-			shares += watch.share
-		}
-	}
-	return shares
-}
-
 // finishable returns the moving shards whose owner is lost and certain to get nothing more.
 func (d *Driver) finishable(now time.Duration, shards []*schemav1.ShardRecord) []*schemav1.ShardRecord {
 	var finished []*schemav1.ShardRecord
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -28,8 +28,11 @@
 	// Margin is the hysteresis of balance moves, as a part of the mean utilisation: a move has to lower the utilisation
 	// of the owner's place by at least this much, so that noise in observed loads moves nothing.
 	Margin = 0.10
-	// baseLoad is added to each shard's load, as a part of the mean load, so that idle shards are spread too.
-	baseLoad = 0.1
+	// baseLoad is a load that counts in addition, as a part of the whole capacity, the same for each shard. It spreads
+	// idle shards, and keeps differences in load that are small against the capacity from moving shards.
+	baseLoad = 0.2
+	// rounding is the relative error allowed in sums of loads.
+	rounding = 1e-6
 	// maxCapacity bounds what a target's announcement can claim.
 	maxCapacity = 1024
 )
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -103,6 +104,7 @@
 		Expect(w.owned(0)).To(BeNumerically("~", 44, 3))
 		Expect(w.owned(1)).To(BeNumerically("~", 11, 2))
 		w.targets[1].Capacity = 1e300
+		w.shards[0].Load, w.shards[1].Load = math.NaN(), math.Inf(1)
 		w.settle()
 		Expect(w.owned(2)).To(BeNumerically(">=", 0))
 	})
--- a/pkg/placement/targets.go
+++ b/pkg/placement/targets.go
@@ -63,13 +63,13 @@
 		p.nodes = append(p.nodes, n)
 		p.byName[n.Name] = n
 	}
-	p.items = weigh(input.Shards)
+	p.items = weigh(input.Shards, totalCapacity(p.nodes))
 	p.place()
 	open := slices.DeleteFunc(slices.Clone(p.nodes), func(n *node) bool { return !n.open() })
 	p.receivers = newNodeHeap(open, leastFilled)
 	givers := slices.DeleteFunc(slices.Clone(open), func(n *node) bool { return len(n.movable) == 0 })
 	p.givers = newNodeHeap(givers, mostUtilised)
-	p.mean = meanUtilisation(p.nodes, p.items)
+	p.mean = meanUtilisation(p.items, totalCapacity(p.nodes))
 	return p
 }
 
@@ -80,20 +80,20 @@
 	return min(announced, maxCapacity)
 }
 
+// believedLoad keeps a wrong measurement from spoiling the sums.
+func believedLoad(load float64) float64 {
+	if !(load > 0) {
+		return 0
+	}
+	return min(load, maxCapacity)
+}
+
 // weigh returns the shards in order of their ids with the load that each counts for.
-func weigh(shards []Shard) []item {
+func weigh(shards []Shard, capacity float64) []item {
 	items := make([]item, len(shards))
-	total := 0.0
+	base := baseLoad * capacity / float64(max(len(shards), 1))
 	for i := range shards {
-		items[i] = item{shard: &shards[i], load: max(shards[i].Load, 0)}
-		total += items[i].load
-	}
-	base := 1.0
-	if total > 0 {
-		base = baseLoad * total / float64(len(shards))
-	}
-	for i := range items {
-		items[i].load += base
+		items[i] = item{shard: &shards[i], load: believedLoad(shards[i].Load) + base}
 	}
 	slices.SortFunc(items, func(a, b item) int { return CompareIDs(a.shard.ID, b.shard.ID) })
 	return items
@@ -112,20 +112,23 @@
 }
 
 // meanUtilisation is the utilisation of all places that may take load once everything has an owner.
-func meanUtilisation(nodes []*node, items []item) float64 {
-	load, capacity := 0.0, 0.0
+func meanUtilisation(items []item, capacity float64) float64 {
+	load := 0.0
 	for _, it := range items {
 		load += it.load
 	}
+	return load / max(capacity, 1)
+}
+
+// totalCapacity is that of the targets that may get shards.
+func totalCapacity(nodes []*node) float64 {
+	capacity := 0.0
 	for _, n := range nodes {
 		if n.open() {
 			capacity += n.capacity
 		}
 	}
-	if capacity == 0 {
-		return 0
-	}
-	return load / capacity
+	return capacity
 }
 
 // open tells whether the node may get shards.
@@ -181,12 +184,12 @@
 // leaves time to see whether less load helps.
 func (p *planner) shed() {
 	for _, n := range p.nodes {
-		excess := n.load - StragglerShare*p.mean*n.capacity
+		excess := (n.load - StragglerShare*p.mean*n.capacity) * (1 + rounding)
 		receiver := p.receivers.first()
 		if !n.Straggler || n.State != Ready || excess <= 0 || receiver.Straggler || p.movesLeft <= 0 {
 			continue
 		}
-		if i, ok := n.bestItem(excess); ok {
+		if i, ok := n.bestItem(excess); ok && n.movable[i].load <= excess {
 			p.move(n, receiver, n.take(i), Straggler)
 		}
 	}
