Wait for all data centres before the first delegation; make ready mean that all keys have owners

Cause: the first data centre to report its targets got all shards, 304 of 960 against 208 in the smallest, and most moved again; the ready line came before keys had owners.

Change: the first delegation of a service waits up to 3 s for data centres without reported capacity; the dev command waits until every shard has an owner with an attached host.

--- a/pkg/control/delegate.go
+++ b/pkg/control/delegate.go
@@ -50,6 +50,9 @@
 		return nil
 	}
 	current := d.state.shards(wanted)
+	if isUndelegated(current) && d.gathersCapacity(now, wanted.Service, centres) {
+		return nil
+	}
 	input := placement.CentreInput{
 		Centres:     centres,
 		HomeRegions: wanted.HomeRegions,
@@ -72,6 +75,22 @@
 	return commands
 }
 
+// gathersCapacity reports whether the first delegation of a service should wait for further data centres. Without it the
+// first one to report its targets gets all shards, and most of them move again within seconds.
+func (d *Driver) gathersCapacity(now time.Duration, service string, centres []placement.Centre) bool {
+	since, ok := d.offered[service]
+	if !ok {
+		since = now
+		d.offered[service] = now
+	}
+	missing := slices.ContainsFunc(centres, func(c placement.Centre) bool { return c.Capacity == 0 && !c.Out && !c.Lost })
+	return missing && now-since < gatherCapacity
+}
+
+func isUndelegated(shards []shardDelegation) bool {
+	return !slices.ContainsFunc(shards, func(s shardDelegation) bool { return s.dataCentre != "" })
+}
+
 // redelegations splits a change where the present delegation or its epoch differs, because a command names both.
 func redelegations(id string, current []shardDelegation, change placement.CentreChange) []*schemav1.ControlCommand {
 	var commands []*schemav1.ControlCommand
--- a/pkg/control/driver.go
+++ b/pkg/control/driver.go
@@ -22,6 +22,8 @@
 	capacityFresh = 10 * time.Second
 	// hostForgetDelay is how long a host may be missing, by its own group's word, before it is removed.
 	hostForgetDelay = 10 * time.Minute
+	// gatherCapacity bounds the wait for data centres without reported capacity before shards are first delegated.
+	gatherCapacity = 3 * time.Second
 	// lostDelay lets leases of a data centre that was declared lost run out before its shards change hands.
 	lostDelay = time.Second
 )
@@ -49,6 +51,8 @@
 	hosts       map[string]hostReport
 	missing     map[string]time.Duration
 	lostSince   map[string]time.Duration
+	// offered is when a service first had capacity anywhere.
+	offered map[string]time.Duration
 }
 
 // NewDriver returns the driver of a host that became leader at now.
@@ -61,6 +65,7 @@
 		hosts:       map[string]hostReport{},
 		missing:     map[string]time.Duration{},
 		lostSince:   map[string]time.Duration{},
+		offered:     map[string]time.Duration{},
 	}
 }
 
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -198,9 +198,9 @@
 // Targets returns the stand-in targets.
 func (d *Deployment) Targets() []*standin.Server { return d.targets }
 
-// Ready reports whether every host is ready.
+// Ready reports whether every host is ready and every shard has an owner.
 func (d *Deployment) Ready() bool {
-	return !slices.ContainsFunc(d.hosts, func(h *host.Host) bool { return !h.Ready().OK })
+	return !slices.ContainsFunc(d.hosts, func(h *host.Host) bool { return !h.Ready().OK || !h.ServesAllKeys() })
 }
 
 // Stop stops all hosts gracefully, then the targets. It returns ctx's error when work in flight was cut off.
--- a/pkg/host/ready.go
+++ b/pkg/host/ready.go
@@ -2,6 +2,9 @@
 
 import (
 	"strings"
+
+	"almondrock.example/almondrock/pkg/control"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
 // Readiness tells whether the balancer should send callers here.
@@ -53,3 +56,36 @@
 
 // DataCentre is the data centre of this host.
 func (h *Host) DataCentre() string { return h.settings.GetDataCentre() }
+
+// ServesAllKeys reports whether every shard is delegated, and each one delegated to this data centre has an owner with
+// an attached host.
+func (h *Host) ServesAllKeys() bool {
+	view, g := h.views.get(), h.group.Load()
+	if view == nil || view.snapshot == nil || g == nil {
+		return false
+	}
+	for _, wanted := range view.snapshot.Keyspaces() {
+		delegation := view.delegations[wanted.ID]
+		if wanted.Exclusive && !g.servesAll(delegation, wanted.Shards) {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *group) servesAll(delegation *schemav1.KeyspaceDelegation, shards uint32) bool {
+	for shard := range shards {
+		run, ok := control.Lookup(delegation, shard)
+		if !ok {
+			return false
+		}
+		if run.GetDataCentre() != g.table.DataCentre() {
+			continue
+		}
+		assignment, ok := g.table.Assignment(delegation.GetKeyspace(), shard, 0)
+		if !ok || assignment.Host == "" || assignment.Moving {
+			return false
+		}
+	}
+	return true
+}
