Close a race in loss acknowledgements and test lost majorities and racks

Cause: the driver read targets and the applied index apart, without the table's lock. Apply publishes records before the index, so a loss could be seen with an index below its own, and a host that had not applied it could count as informed. Commands about idempotency records made the driver plan anew on every step. A record begun late by a removed host stayed in progress for good.

--- a/pkg/ownership/apply.go
+++ b/pkg/ownership/apply.go
@@ -27,8 +27,12 @@
 	t.mu.Lock()
 	result, visible := t.dispatch(command)
 	t.applied.Store(index)
+	changed := visible && result.Applied
+	if changed {
+		t.changes.Add(1)
+	}
 	t.mu.Unlock()
-	if visible && result.Applied {
+	if changed {
 		t.notify()
 	}
 	return result
@@ -38,7 +42,7 @@
 func (t *Table) dispatch(command *schemav1.GroupCommand) (result *schemav1.GroupResult, visible bool) {
 	switch c := command.Command.(type) {
 	case *schemav1.GroupCommand_BeginRecord:
-		return t.records.begin(c.BeginRecord.GetRecord()), false
+		return t.beginRecord(c.BeginRecord.GetRecord()), false
 	case *schemav1.GroupCommand_FinishRecord:
 		return t.records.finish(c.FinishRecord), false
 	case *schemav1.GroupCommand_ExpireRecords:
@@ -48,6 +52,15 @@
 	}
 }
 
+// beginRecord refuses a host process that the control group has removed: nobody would finish its record.
+func (t *Table) beginRecord(record *schemav1.IdempotencyRecord) *schemav1.GroupResult {
+	hosts := t.view.Load().Hosts
+	if len(hosts) > 0 && !present(hosts, record.GetHost(), record.GetHostIdentity()) {
+		return &schemav1.GroupResult{Record: t.records.byID[string(record.GetId())]}
+	}
+	return t.records.begin(record)
+}
+
 // applyPlacement applies commands about targets, shards and the control view.
 func (t *Table) applyPlacement(command *schemav1.GroupCommand) bool {
 	switch c := command.Command.(type) {
--- a/pkg/ownership/attach.go
+++ b/pkg/ownership/attach.go
@@ -33,7 +33,7 @@
 	if d.gathering(now) {
 		return nil
 	}
-	records := d.table.Targets()
+	records := d.records
 	hosts := d.hostLoads(now, records)
 	var commands []*schemav1.GroupCommand
 	for _, record := range records {
@@ -96,18 +96,18 @@
 // hostLoads returns the hosts of the control view that renew their lease and don't drain.
 func (d *Driver) hostLoads(now time.Duration, records []*schemav1.TargetRecord) []*hostLoad {
 	var hosts []*hostLoad
+	byKey := map[holderKey]*hostLoad{}
 	for _, host := range d.table.ControlView().Hosts {
 		h := d.holder(holderKey{host.Name, host.Identity})
 		if host.DataCentre == d.table.DataCentre() && h.alive(now) && !h.draining {
 			hosts = append(hosts, &hostLoad{holder: h})
+			byKey[h.key] = hosts[len(hosts)-1]
 		}
 	}
 	for _, record := range records {
-		for _, h := range hosts {
-			if h.key == (holderKey{record.AttachedHost, record.AttachedIdentity}) {
-				h.weight += attachmentWeight(record)
-				h.targets++
-			}
+		if h := byKey[holderKey{record.AttachedHost, record.AttachedIdentity}]; h != nil {
+			h.weight += attachmentWeight(record)
+			h.targets++
 		}
 	}
 	return hosts
@@ -137,6 +137,9 @@
 	} else if !d.holder(attached).expired(now) {
 		return nil
 	}
+	if !watch.mayPropose(now, "attach") {
+		return nil
+	}
 	host := d.chooseHost(now, record, hosts)
 	if record.AttachedHost != "" {
 		// Until this is applied the old host gets no lease.
--- a/pkg/ownership/driver.go
+++ b/pkg/ownership/driver.go
@@ -47,13 +47,16 @@
 	// last command whose effect a host may have missed then.
 	startedAt  time.Duration
 	startIndex uint64
-	observed   uint64
-	observing  bool
-	holders    map[holderKey]*holder
-	targets    map[string]*targetWatch
-	announced  map[string]*schemav1.Announcement
-	planner    plannerState
-	hot        map[shardKey]*hotWatch
+	// observed is the count of the table's changes that the driver has seen, once observing is set.
+	observed  uint64
+	observing bool
+	// records are the targets as last observed, in order of their names.
+	records   []*schemav1.TargetRecord
+	holders   map[holderKey]*holder
+	targets   map[string]*targetWatch
+	announced map[string]*schemav1.Announcement
+	planner   plannerState
+	hot       map[shardKey]*hotWatch
 	// rebalancedAt and expiredAt are the times of the last rebalancing and of the last removal of old records.
 	rebalancedAt time.Duration
 	expiredAt    time.Duration
--- a/pkg/ownership/faults_test.go
+++ b/pkg/ownership/faults_test.go
@@ -83,6 +83,7 @@
 var faults = map[string]fault{
 	"leader paused":    func(s *sim) { pauseHost(s.leader) },
 	"leader cut off":   func(s *sim) { cutHost(s.leader) },
+	"majority lost":    nextGeneration,
 	"host paused":      func(s *sim) { pauseHost(s.anyHost()) },
 	"host cut off":     func(s *sim) { cutHost(s.anyHost()) },
 	"host lags":        func(s *sim) { s.anyHost().lag = s.between(50*time.Millisecond, 3*time.Second) },
--- a/pkg/ownership/observe.go
+++ b/pkg/ownership/observe.go
@@ -14,6 +14,8 @@
 	// doubles with each loss, so that a target that flaps stays out of use.
 	holdBase = time.Second
 	holdMax  = time.Minute
+	// proposeInterval is the time after which a command that has no effect yet is proposed again.
+	proposeInterval = 60 * time.Millisecond
 	// calmTime without a loss clears the count of losses.
 	calmTime = 5 * time.Minute
 )
@@ -32,6 +34,7 @@
 	attachment uint64
 	detached   *detachment
 	evicting   *eviction
+	proposed   proposal
 
 	utilisation float64
 	latency     time.Duration
@@ -50,17 +53,21 @@
 	holdUntil time.Duration
 }
 
+// proposal is the last command about a target.
+type proposal struct {
+	kind       string
+	attachment uint64
+	at         time.Duration
+}
+
 // observe takes over what the table has applied since the last call.
 func (d *Driver) observe(now time.Duration) {
-	applied := d.table.Applied()
-	if d.observing && applied == d.observed {
+	if d.observing && d.table.changes.Load() == d.observed {
 		return
 	}
 	first := !d.observing
-	d.observing, d.observed = true, applied
-	records := d.table.Targets()
-	// Read after the records: whoever has applied this index has applied every loss seen in them.
-	index := d.table.Applied()
+	records, index, changes := d.table.observation()
+	d.observing, d.observed, d.records = true, changes, records
 	for _, record := range records {
 		d.observeTarget(now, record, index, first)
 	}
@@ -127,6 +134,17 @@
 	watch.detached.note(d.holder(key).reports[watch.name])
 }
 
+// mayPropose reports whether a command of the given kind about the target is due: its last one has been applied, with a
+// change of the attachment, or is overdue.
+func (w *targetWatch) mayPropose(now time.Duration, kind string) bool {
+	p := &w.proposed
+	if p.kind == kind && p.attachment == w.attachment && now-p.at < proposeInterval {
+		return false
+	}
+	*p = proposal{kind: kind, attachment: w.attachment, at: now}
+	return true
+}
+
 // observeReports takes over the load and latency that the attached host measured.
 func (d *Driver) observeReports(now time.Duration, h *holder) {
 	for name, r := range h.reports {
@@ -208,7 +226,7 @@
 // losses marks targets as lost that their attached host can't reach or that have not announced themselves for long.
 func (d *Driver) losses(now time.Duration) []*schemav1.GroupCommand {
 	var commands []*schemav1.GroupCommand
-	for _, record := range d.table.Targets() {
+	for _, record := range d.records {
 		watch := d.targets[record.Announcement.Target]
 		if watch == nil || record.Lost {
 			continue
@@ -217,7 +235,7 @@
 		if unreachable {
 			watch.failedHost = holderKey{record.AttachedHost, record.AttachedIdentity}
 		}
-		if unreachable || now-watch.announcedAt > announceExpiry {
+		if (unreachable || now-watch.announcedAt > announceExpiry) && watch.mayPropose(now, "lost") {
 			commands = append(commands, &schemav1.GroupCommand{Command: &schemav1.GroupCommand_MarkTargetLost{
 				MarkTargetLost: &schemav1.MarkTargetLost{Target: watch.name, BootId: watch.bootID},
 			}})
--- a/pkg/ownership/outage_test.go
+++ b/pkg/ownership/outage_test.go
@@ -29,11 +29,22 @@
 	Entry("target lost", func(s *sim) { s.targets[s.rng.IntN(5)].alive = false }),
 	Entry("attached host lost", func(s *sim) { s.follower().dead = true }),
 	Entry("attached host lost that leads the group", func(s *sim) { s.leader.dead = true }),
+	Entry("target and its attached host lost", func(s *sim) { s.loseBoth(s.follower()) }),
+	Entry("target and its attached host lost that leads the group", func(s *sim) { s.loseBoth(s.leader) }),
 	Entry("attached host cut off", func(s *sim) { s.follower().cut = true }),
 	Entry("leader cut off", func(s *sim) { s.leader.cut = true }),
 	Entry("target restarts", func(s *sim) { s.targets[0].boot, s.targets[0].sequence = "b2", 0 }),
 )
 
+// loseBoth loses a host and one of its targets.
+func (s *sim) loseBoth(h *simHost) {
+	for _, record := range h.table.TargetsAttachedTo(h.name) {
+		s.target(record.Announcement.Target).alive = false
+		break
+	}
+	h.dead = true
+}
+
 // follower returns a host that does not lead.
 func (s *sim) follower() *simHost {
 	for {
--- a/pkg/ownership/place.go
+++ b/pkg/ownership/place.go
@@ -27,8 +27,8 @@
 
 // plannerState is the driver's memory between planning rounds.
 type plannerState struct {
-	// version is the table's log index of the last round, plannedAt its time.
-	index     uint64
+	// changes is the count of the table's changes at the last plan, plannedAt the time of the last round of moves.
+	changes   uint64
 	plannedAt time.Duration
 	ran       bool
 	// moves are the times of planned moves within the last minute.
@@ -50,10 +50,10 @@
 // placements assigns shards without owner, finishes moves whose owner is gone, and plans moves once a second.
 func (d *Driver) placements(now time.Duration) []*schemav1.GroupCommand {
 	round := !d.planner.ran || now-d.planner.plannedAt >= planInterval
-	if !round && d.planner.index == d.table.Applied() && !d.waiting() {
+	if !round && d.planner.changes == d.table.changes.Load() && !d.waiting() {
 		return nil
 	}
-	d.planner.index, d.planner.gathering = d.table.Applied(), false
+	d.planner.changes, d.planner.gathering = d.table.changes.Load(), false
 	movesLeft := 0
 	if round {
 		d.planner.ran, d.planner.plannedAt = true, now
@@ -87,7 +87,7 @@
 	if d.planner.gathering {
 		return true
 	}
-	for _, record := range d.table.Targets() {
+	for _, record := range d.records {
 		if record.AttachedHost == "" && len(d.table.ShardsOf(record.Announcement.Target)) > 0 {
 			return true
 		}
--- a/pkg/ownership/planview.go
+++ b/pkg/ownership/planview.go
@@ -18,6 +18,25 @@
 	return !ok || t.consistent(record, announcement)
 }
 
+// observation returns the targets together with the index of the last applied command, so that whoever has applied this
+// index has applied every loss in the records.
+func (t *Table) observation() (records []*schemav1.TargetRecord, applied, changes uint64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.Targets(), t.applied.Load(), t.changes.Load()
+}
+
+// Capacity returns the sum of slots of the ready targets by service, for the next poll of the control group.
+func (t *Table) Capacity() map[string]uint32 {
+	capacity := map[string]uint32{}
+	for _, record := range t.Targets() {
+		if a := record.Announcement; !record.Lost && !a.Draining && record.AttachedHost != "" {
+			capacity[a.Service] += max(min(a.Slots, maxSlots), 1)
+		}
+	}
+	return capacity
+}
+
 // planShards returns by service the records that a plan is about, in order: those of all shards delegated here, made up
 // where there is none yet, hot keys, and shards that still stop.
 func (t *Table) planShards() map[string][]*schemav1.ShardRecord {
--- a/pkg/ownership/snapshot.go
+++ b/pkg/ownership/snapshot.go
@@ -31,15 +31,20 @@
 
 // Snapshot returns the whole state as a serialised GroupSnapshot. Equal states give equal bytes.
 func (t *Table) Snapshot() ([]byte, error) {
+	// Records are immutable, so commands may go on while they are encoded.
+	snapshot := t.snapshot()
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	return encoded, merry.Wrap(err)
+}
+
+func (t *Table) snapshot() *schemav1.GroupSnapshot {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	snapshot := &schemav1.GroupSnapshot{
+	return &schemav1.GroupSnapshot{
 		Format: snapshotFormat, DataCentre: t.dataCentre, Generation: t.generation, FenceCounter: t.fenceCounter,
 		Targets: t.Targets(), Shards: t.Shards(), Records: t.records.sorted(), ControlView: t.view.Load(),
 		Applied: t.applied.Load(),
 	}
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
-	return encoded, merry.Wrap(err)
 }
 
 // Restore replaces the state. A snapshot of an earlier generation starts this one: all owners get new fences, because
@@ -77,6 +82,7 @@
 	t.targets.Store(fresh.targets.Load())
 	t.keyspaces.Store(fresh.keyspaces.Load())
 	t.applied.Store(fresh.applied.Load())
+	t.changes.Add(1)
 }
 
 func (t *Table) load(snapshot *schemav1.GroupSnapshot) {
--- a/pkg/ownership/table.go
+++ b/pkg/ownership/table.go
@@ -22,7 +22,9 @@
 	records      *recordStore
 	delegations  delegations
 
-	applied   atomic.Uint64
+	applied atomic.Uint64
+	// changes counts what Changed announces; records of requests don't count.
+	changes   atomic.Uint64
 	view      atomic.Pointer[schemav1.ControlView]
 	keyspaces atomic.Pointer[map[string]*keyspaceState]
 	targets   atomic.Pointer[map[string]*targetState]
