--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -17,6 +17,8 @@
 func (n *Node) campaign(role Role, force bool) {
 	n.becomeFollower(n.term, 0)
 	n.role = role
+	// A split vote is repeated sooner than after a loss: the voters' promise to the old leader is over by now.
+	n.electionDue = n.now + n.config.HeartbeatTicks + uint64(n.config.Rand(int(n.config.ElectionMinTicks)))
 	kind, term := schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, n.term+1
 	if role == Candidate {
 		n.term++
