--- a/pkg/proxy/caller_test.go
+++ b/pkg/proxy/caller_test.go
@@ -240,5 +240,7 @@
 		w.hosts["h2"] = &host{data: h0.data}
 		refusal := ask("GET", h1.address, "/desk/a", "").refusal()
 		Expect(refusal.Code).To(Equal(apierr.Loop))
+		// The first host and three that it was forwarded to.
+		Expect(w.looks).To(Equal(4))
 	})
 })
--- a/pkg/proxy/faults_test.go
+++ b/pkg/proxy/faults_test.go
@@ -103,22 +103,31 @@
 		Entry("the caller asked for a range", 1, 10, []string{"Range", "bytes=1000-200999"}, 1000, 201000, true),
 	)
 
-	It("are never completed from another representation", func() {
-		var calls atomic.Int64
-		h := rawHost(func(w http.ResponseWriter, _ *http.Request) {
-			call := calls.Add(1)
-			w.Header().Set("Etag", map[bool]string{true: `"a"`, false: `"b"`}[call == 1])
-			w.Header().Set("Content-Length", "10")
-			if call == 1 {
-				_, _ = w.Write([]byte("abc"))
-				_ = http.NewResponseController(w).Flush()
-				panic(http.ErrAbortHandler)
-			}
-			_, _ = w.Write([]byte("0123456789"))
-		})
-		Expect(ask("GET", h.world.hosts["h1"].address, "/desk/a", "").err).To(HaveOccurred())
-		Expect(calls.Load()).To(BeEquivalentTo(2))
-	})
+	DescribeTable("are never completed from another representation or position",
+		func(status int, tag, contentRange, rest string) {
+			var calls atomic.Int64
+			h := rawHost(func(w http.ResponseWriter, _ *http.Request) {
+				if calls.Add(1) == 1 {
+					w.Header().Set("Etag", `"a"`)
+					w.Header().Set("Content-Length", "10")
+					_, _ = w.Write([]byte("abc"))
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set("Etag", tag)
+				w.Header().Set("Content-Range", contentRange)
+				w.WriteHeader(status)
+				_, _ = w.Write([]byte(rest))
+			})
+			Expect(ask("GET", h.world.hosts["h1"].address, "/desk/a", "").err).To(HaveOccurred())
+			Expect(calls.Load()).To(BeEquivalentTo(2))
+		},
+		Entry("the whole of another representation", 200, `"b"`, "", "0123456789"),
+		Entry("the rest of another representation", 206, `"b"`, "bytes 3-9/10", "3456789"),
+		Entry("the same length from another position", 206, `"a"`, "bytes 2-8/10", "2345678"),
+		Entry("a representation without a tag", 206, "", "bytes 3-9/10", "3456789"),
+		Entry("an error of the same length", 500, `"a"`, "", "failure"),
+	)
 
 	It("are not resumed by a weak entity tag", func() {
 		var calls atomic.Int64
--- a/pkg/proxy/records_test.go
+++ b/pkg/proxy/records_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"almondrock.example/almondrock/pkg/apierr"
 	"almondrock.example/almondrock/pkg/proxy"
@@ -26,6 +27,7 @@
 	loseBegin           bool
 	onFinish            func()
 	begins              int
+	asked               *schemav1.IdempotencyRecord
 	lastState           schemav1.RecordState
 }
 
@@ -33,6 +35,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.begins++
+	s.asked = record
 	if s.beginErr != nil {
 		return nil, false, s.beginErr
 	}
@@ -107,6 +110,13 @@
 		}
 		Expect(server.Runs()).To(HaveLen(runs))
 	},
+	Entry("begin failed, and an earlier process of this host had begun it", func(_ *world, _ *standin.Server, s *store) {
+		s.beginErr = errors.New("no leader")
+	}, 503, func(_ *world, _ *standin.Server, s *store) {
+		earlier := proto.Clone(s.asked).(*schemav1.IdempotencyRecord)
+		earlier.BegunUnixMs--
+		s.records[string(earlier.GetId())] = earlier
+	}, "body", 409, apierr.InProgress, 0),
 	Entry("answered: the stored answer", well, 200, well, "body", 200, apierr.Code(""), 1),
 	Entry("another body", well, 200, well, "other", 422, apierr.IdempotencyMismatch, 1),
 	Entry("shed by the target: runs now", func(_ *world, server *standin.Server, _ *store) {
--- a/pkg/target/manager_test.go
+++ b/pkg/target/manager_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -173,6 +175,30 @@
 		Expect(r.boots).To(Equal([]string{r.server.BootID()}))
 	})
 
+	// Before the target's clock is known, only the time from the receipt limits a grant.
+	It("I1: never last longer than the lease when the target has no clock", func() {
+		requests := make(chan target.GrantRequest, 10)
+		fake := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var request target.GrantRequest
+			_ = json.NewDecoder(r.Body).Decode(&request)
+			requests <- request
+			_ = json.NewEncoder(w).Encode(target.GrantResponse{BootID: "b", Held: 1})
+		}))
+		DeferCleanup(fake.Close)
+		r := newRig(nil)
+		r.record.Announcement.Address, r.record.Announcement.ClockMs = fake.Listener.Addr().String(), 0
+		r.lease.Store(int64(321 * time.Millisecond))
+		r.sync(shard(7, owned, 5))
+		for range 2 {
+			var request target.GrantRequest
+			Eventually(requests).Should(Receive(&request))
+			Expect(request.ExpiryMs).To(BeEquivalentTo(321))
+			Expect(request.ExpiresAtMs).To(BeZero())
+			r.begin(scope(7, 1, 5)).End()
+			r.manager.Renew()
+		}
+	})
+
 	It("I1: carry their expiry in the target's own clock", func() {
 		r := newRig(nil)
 		r.sync(shard(7, owned, 5))
