Give up on a lost host when another one has its target

Cause: an idempotent request that waited for a host which was lost without a sign hung until its deadline.

Change: while it waits, ingress looks every 100 ms whether the target is attached to another host, and sends the request there. Non-idempotent requests are never sent again. One context less per request at the attached host.

--- a/pkg/proxy/attached.go
+++ b/pkg/proxy/attached.go
@@ -149,8 +149,7 @@
 	if left < time.Millisecond {
 		return nil, s.noTime(ownLease)
 	}
-	ctx, cancel := context.WithTimeout(s.sendContext(), left)
-	s.cancel = cancel
+	ctx := s.sendContext(left, ownLease)
 	s.targetHeaders(header, left)
 	link, err := s.targetURL()
 	if err != nil {
@@ -169,12 +168,20 @@
 	return &answer{exchange: reply, header: reply.Response.Header, sending: s}, nil
 }
 
-// sendContext ends when the caller leaves, but for a recorded request: its answer is kept for the caller's next try.
-func (s *sending) sendContext() context.Context {
-	if s.recorded {
-		return context.WithoutCancel(s.ctx)
+// sendContext ends with the time left and when the caller leaves. A recorded request goes on without its caller: its
+// answer is kept for the caller's next try.
+func (s *sending) sendContext(left time.Duration, ownLease bool) context.Context {
+	parent := s.ctx
+	switch {
+	case s.recorded:
+		parent = context.WithoutCancel(s.ctx)
+	case !ownLease:
+		// The request's own context ends at the same time.
+		return parent
 	}
-	return s.ctx
+	ctx, cancel := context.WithTimeout(parent, left)
+	s.cancel = cancel
+	return ctx
 }
 
 // allowed is how long the target may work on the request. The time of a request that changes something is capped at
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -57,6 +57,8 @@
 	sends   int
 	// recorded is set while the request has an idempotency record that says begun.
 	recorded bool
+	// cancels end the attempts at other hosts when the request is over.
+	cancels []context.CancelFunc
 	// mayHaveRun is set once an attempt ended without certainty. No later refusal may then claim not-run (I7).
 	mayHaveRun bool
 	// noWait is set when looking for the owner again cannot help.
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -43,15 +44,52 @@
 }
 
 func (x *exchange) sendToPeer(p place, address string) (*target.Exchange, error) {
-	request, err := x.peerRequest(p, address)
+	ctx, cancel := context.WithCancel(x.ctx)
+	x.cancels = append(x.cancels, cancel)
+	request, err := x.peerRequest(ctx, p, address)
 	if err != nil {
 		return nil, err
 	}
+	defer x.watchOwner(p, cancel)()
 	return x.options.Peers.Send(request, nil)
 }
 
+// watchInterval is how often a request that waits for another host looks whether that host still has the target.
+const watchInterval = 100 * time.Millisecond
+
+// watchOwner gives an idempotent request up once the target has been attached to another host: the first host is lost,
+// and the request would hang until its deadline. A planned move waits for requests in flight, so it ends none.
+func (x *exchange) watchOwner(p place, giveUp func()) (stop func()) {
+	if !x.resolution.Idempotent || x.shared() || p.host == "" {
+		return func() {}
+	}
+	var mu sync.Mutex
+	var timer *time.Timer
+	stopped := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(watchInterval, func() {
+		assignment, ok := x.options.Directory.Assignment(x.resolution.Keyspace, x.shard, x.hash)
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case stopped:
+		case ok && assignment.Host != "" && assignment.Host != p.host:
+			giveUp()
+		default:
+			timer.Reset(watchInterval)
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+	}
+}
+
 // peerRequest builds the request for the next host. It keeps the caller's path, because each host resolves it anew.
-func (x *exchange) peerRequest(p place, address string) (*http.Request, error) {
+func (x *exchange) peerRequest(ctx context.Context, p place, address string) (*http.Request, error) {
 	header := x.outgoing()
 	header[headerHops] = []string{strconv.Itoa(x.hops + 1)}
 	header[headerFrom] = []string{x.options.Directory.Self().DataCentre}
@@ -71,7 +109,7 @@
 		return nil, err
 	}
 	link := &url.URL{Scheme: "http", Host: address, Path: x.r.URL.Path, RawPath: x.r.URL.RawPath, RawQuery: x.r.URL.RawQuery}
-	return x.request(x.ctx, link, header, body), nil
+	return x.request(ctx, link, header, body), nil
 }
 
 // Each hop gets less time than is left, so that its refusal arrives before this host gives up: one way takes up to 1.5 ms
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -44,6 +44,9 @@
 		x.ctx = ctx
 		err = x.serve()
 		cancel()
+		for _, cancel := range x.cancels {
+			cancel()
+		}
 	}
 	if x.service != "" {
 		h.telemetry.request(x, err)
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -148,6 +148,9 @@
 
 func (w *world) sync() {
 	for _, h := range w.hosts {
+		if h.manager == nil {
+			continue
+		}
 		var attached []*schemav1.TargetRecord
 		w.mu.Lock()
 		for _, record := range w.targets {
--- a/pkg/proxy/peer_test.go
+++ b/pkg/proxy/peer_test.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/standin"
 )
 
 // peer is a host of the same data centre that answers as a test says.
@@ -91,6 +93,38 @@
 	}, "POST", 503, apierr.Moving, apierr.NotRun, 1),
 )
 
+var _ = Describe("a host that is lost without a sign", func() {
+	DescribeTable("holds a request only as long as it is not certain that another host has the target",
+		func(method string, served bool) {
+			arrived := make(chan struct{}, 10)
+			h, calls := peer(func(_ int64, _ http.ResponseWriter, r *http.Request) {
+				arrived <- struct{}{}
+				<-r.Context().Done()
+			})
+			h.world.resolution.Deadline = 20 * time.Second
+			if !served {
+				h.world.resolution.Deadline = 400 * time.Millisecond
+			}
+			server := h.world.addTarget("t1", standin.Options{})
+			answered := make(chan *reply, 1)
+			go func() { answered <- ask(method, h.address, "/desk/a", "") }()
+			<-arrived
+			h.world.own("t1", "h0", 6)
+			var reply *reply
+			Eventually(answered, "10s").Should(Receive(&reply))
+			Expect(calls.Load()).To(BeEquivalentTo(1))
+			if served {
+				Expect(reply.answer().Target).To(Equal("t1"))
+				return
+			}
+			Expect(reply.refusal().Code).To(Equal(apierr.OutcomeUnknown))
+			Expect(server.Counts().Requests).To(BeZero())
+		},
+		Entry("idempotent: sent to the new host", "GET", true),
+		Entry("I8: non-idempotent: never sent again", "POST", false),
+	)
+})
+
 var _ = Describe("between hosts", func() {
 	It("I6: a cut answer resets the caller's stream", func() {
 		h, _ := peer(func(_ int64, w http.ResponseWriter, _ *http.Request) {
--- a/pkg/proxy/resume.go
+++ b/pkg/proxy/resume.go
@@ -45,7 +45,6 @@
 	x.telemetry.retry(x.service)
 	time.Sleep(wait)
 	s := a.sending
-	s.cancel()
 	s.resuming = true
 	rest, err := s.send(x.resumeHeader(a.rest, offset), http.NoBody)
 	if err != nil {
