Guard the fake administration API of the almondctl tests

Cause: the race was in the test's fake server, not in almondctl. A dropped answer (panic with http.ErrAbortHandler) writes no byte to its connection, so nothing orders the handler of the first request before the handler of the resend, which runs on another connection; both append to the fake's lists without a lock.

Change: a mutex guards the fake, and run takes it once before the test reads the lists.

Runs of the race-enabled test binary, 6 processes at once with 40 runs each: 82 of 240 runs reported a data race before, 0 of 240 after. 'go test -count=20' itself cannot be used: Ginkgo refuses to run a suite twice in one process.

Conclusion: almondctl needs no change.

--- a/pkg/cli/ctl/ctl_test.go
+++ b/pkg/cli/ctl/ctl_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -38,6 +39,9 @@
 // fakeAPI answers like a host's administration API.
 type fakeAPI struct {
 	*httptest.Server
+	// mu guards the fields below. A dropped answer writes nothing to its connection, so the next request, on another
+	// connection, is not ordered after it by the network.
+	mu      sync.Mutex
 	inForce *schemav1.Configuration
 	// lost is the number of submissions whose answer is dropped after they have taken effect.
 	lost     int
@@ -62,6 +66,8 @@
 
 func (f *fakeAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.urls = append(f.urls, r.Method+" "+r.URL.String())
 	var answer proto.Message
 	switch r.URL.Path {
@@ -126,6 +132,11 @@
 		},
 		Now: func() time.Time { return time.UnixMilli(99) }, NewID: func() string { return "drawn" },
 	})
+	if fake != nil {
+		// Orders the test's reads after the handlers, which unlock before their connections close.
+		fake.mu.Lock()
+		defer fake.mu.Unlock()
+	}
 	r.out, r.err = out.String(), errs.String()
 	return r
 }
