--- a/pkg/admin/errors.go
+++ b/pkg/admin/errors.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/labstack/echo/v4"
+	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/apierr"
 )
@@ -23,6 +24,13 @@
 	return data, nil
 }
 
+// codes gives the errors of echo's router and middleware their codes.
+var codes = map[int]apierr.Code{
+	http.StatusNotFound:              apierr.NotFound,
+	http.StatusMethodNotAllowed:      apierr.MethodNotAllowed,
+	http.StatusRequestEntityTooLarge: apierr.BodyTooLarge,
+}
+
 // writeError answers every failure as a JSON refusal.
 func writeError(err error, c echo.Context) {
 	if c.Response().Committed {
@@ -30,14 +38,14 @@
 	}
 	var routing *echo.HTTPError
 	if errors.As(err, &routing) {
-		code := apierr.BadRequest
-		if routing.Code == http.StatusRequestEntityTooLarge {
-			code = apierr.BodyTooLarge
+		code, ok := codes[routing.Code]
+		if !ok {
+			code = apierr.BadRequest
 		}
-		body := apierr.Body{Code: code, Ran: apierr.NotRun, Message: http.StatusText(routing.Code)}
-		// The caller may be gone; there is nobody left to tell.
-		_ = c.JSON(routing.Code, body)
-		return
+		err = apierr.New(code, "%s %s: %s", c.Request().Method, c.Request().URL.Path, http.StatusText(routing.Code))
+	}
+	if apierr.From(err).Code == apierr.Internal {
+		klog.ErrorS(err, "administration call failed", "method", c.Request().Method, "path", c.Path())
 	}
 	apierr.Write(c.Response(), "", err)
 }
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/pprof"
+	runtimepprof "runtime/pprof"
 
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
@@ -52,13 +53,20 @@
 	profiles.GET("/", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	profiles.GET("/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
 	profiles.GET("/trace", echo.WrapHandler(http.HandlerFunc(pprof.Trace)))
-	profiles.GET("/:name", func(c echo.Context) error {
-		pprof.Handler(c.Param("name")).ServeHTTP(c.Response(), c.Request())
-		return nil
-	})
+	profiles.GET("/:name", profile)
 	return server
 }
 
+// profile serves the profiles that the runtime keeps, such as heap and goroutine.
+func profile(c echo.Context) error {
+	name := c.Param("name")
+	if runtimepprof.Lookup(name) == nil {
+		return apierr.New(apierr.NotFound, "no profile has this name")
+	}
+	pprof.Handler(name).ServeHTTP(c.Response(), c.Request())
+	return nil
+}
+
 type api struct {
 	backend Backend
 }
@@ -86,7 +94,7 @@
 func (a *api) configuration(c echo.Context) error {
 	configuration := a.backend.Configuration()
 	if configuration == nil {
-		return c.NoContent(http.StatusNotFound)
+		return apierr.New(apierr.NotFound, "no revision is in force on this host yet")
 	}
 	return answer(c, http.StatusOK, configuration, nil)
 }
--- a/pkg/apierr/apierr.go
+++ b/pkg/apierr/apierr.go
@@ -41,6 +41,13 @@
 	Internal            Code = "internal"
 )
 
+// Codes of refusals by the administration API only.
+const (
+	NotFound         Code = "not-found"
+	MethodNotAllowed Code = "method-not-allowed"
+	Forbidden        Code = "forbidden"
+)
+
 // Ran tells whether the target may have run the request.
 type Ran string
 
@@ -74,6 +81,9 @@
 	Loop:                http.StatusLoopDetected,
 	AnswerNotKept:       http.StatusConflict,
 	Internal:            http.StatusInternalServerError,
+	NotFound:            http.StatusNotFound,
+	MethodNotAllowed:    http.StatusMethodNotAllowed,
+	Forbidden:           http.StatusForbidden,
 }
 
 // Refusal is the typed error behind every refusal.
