--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -33,9 +33,9 @@
 	Region     string
 	// Chain gives the order of distances per attempt; DefaultChain when nil.
 	Chain Chain
-	// Clock is monotonic.
+	// Clock is monotonic; the process clock when nil.
 	Clock func() time.Duration
-	// Random must not be used elsewhere at the same time.
+	// Random must not be used elsewhere at the same time; seeded by the system when nil.
 	Random *rand.Rand
 }
 
@@ -90,6 +90,13 @@
 	if options.Chain == nil {
 		options.Chain = DefaultChain
 	}
+	if options.Clock == nil {
+		start := time.Now()
+		options.Clock = func() time.Duration { return time.Since(start) }
+	}
+	if options.Random == nil {
+		options.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	return &Chooser{options: options, byName: map[string]*state{}}
 }
 
--- a/pkg/limit/gate.go
+++ b/pkg/limit/gate.go
@@ -73,8 +73,11 @@
 // Outcome is what the gate learns from an admitted request.
 type Outcome struct {
 	Result Result
-	// Latency is the time that the target took; measured from the admission when 0.
+	// Latency is the time that the slot was in use; measured from the admission when 0.
 	Latency time.Duration
+	// FirstByte is the time to the first byte of the answer; Latency when 0. It tells whether the target is slow, since
+	// the whole latency depends on the size of the answer and on how fast the caller reads.
+	FirstByte time.Duration
 }
 
 // Gate is the admission control of one target. It is safe for concurrent use.
@@ -117,12 +120,12 @@
 // answered in time or the queue is full, Deadline when the deadline passes while it waits, and the refusal given to
 // Close after the gate was closed. The error of a cancelled ctx also wraps the cause of the cancellation.
 func (g *Gate) Acquire(ctx context.Context, ticket Ticket) (*Permit, error) {
-	w, err := g.enter(ctx, ticket)
+	w, now, err := g.enter(ctx, ticket)
 	if err != nil {
 		return nil, err
 	}
 	if w == nil {
-		return &Permit{gate: g, class: normalise(ticket.Class), started: g.clock.Now()}, nil
+		return &Permit{gate: g, class: normalise(ticket.Class), started: now}, nil
 	}
 	select {
 	case <-w.done:
@@ -141,19 +144,19 @@
 	return &Permit{gate: g, class: w.class, started: w.started, waited: w.started - w.enqueued}, nil
 }
 
-// enter admits the ticket at once, in which case there is no waiter, or queues it.
-func (g *Gate) enter(ctx context.Context, ticket Ticket) (*waiter, error) {
+// enter admits the ticket at once, in which case there is no waiter, or queues it. It also returns the time.
+func (g *Gate) enter(ctx context.Context, ticket Ticket) (w *waiter, now time.Duration, err error) {
 	if ctx.Err() != nil {
-		return nil, cancelled(ctx)
+		return nil, 0, cancelled(ctx)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
+	now = g.clock.Now()
 	if g.closed != nil {
-		return nil, apierr.Wrap(g.closed)
+		return nil, now, apierr.Wrap(g.closed)
 	}
 	if ticket.Deadline <= 0 {
-		return nil, deadlinePassed(0)
+		return nil, now, deadlinePassed(0)
 	}
 	class := normalise(ticket.Class)
 	if g.core.startNow(now, class) {
@@ -161,15 +164,12 @@
 		if g.observer != nil {
 			g.observer.Waited(class, 0)
 		}
-		return nil, nil
+		return nil, now, nil
 	}
-	w := newWaiter(ticket, now)
-	err := g.core.enqueue(now, w)
+	w = newWaiter(ticket, now)
+	err = g.core.enqueue(now, w)
 	g.changed(now)
-	if err != nil {
-		return nil, err
-	}
-	return w, nil
+	return w, now, err
 }
 
 // abandon takes a cancelled waiter out of the queue; it reports false when the waiter was settled in the meantime.
--- a/pkg/limit/ramp.go
+++ b/pkg/limit/ramp.go
@@ -170,7 +170,7 @@
 	case Cancelled:
 	case Success:
 		r.record(false)
-		r.succeeded(now, started, class, outcome.Latency)
+		r.succeeded(now, started, class, outcome)
 	case Failure, Shed:
 		if started >= r.fellBack {
 			r.record(true)
@@ -179,12 +179,16 @@
 	}
 }
 
-func (r *Ramp) succeeded(now, started time.Duration, class schemav1.RequestClass, latency time.Duration) {
+func (r *Ramp) succeeded(now, started time.Duration, class schemav1.RequestClass, outcome Outcome) {
 	if r.served == 0 {
-		r.served = latency
+		r.served = outcome.Latency
 	}
-	r.served += (latency - r.served) / serviceTimeShare
-	if cold := r.usual[normalise(class)].observe(latency); cold {
+	r.served += (outcome.Latency - r.served) / serviceTimeShare
+	first := outcome.FirstByte
+	if first <= 0 {
+		first = outcome.Latency
+	}
+	if cold := r.usual[normalise(class)].observe(first); cold {
 		if started >= r.fellBack {
 			r.Reset(now)
 		}
--- a/pkg/limit/ramp_test.go
+++ b/pkg/limit/ramp_test.go
@@ -122,6 +122,13 @@
 			d.run(time.Second, 38*time.Millisecond, limit.Success)
 			return d
 		}, 8, 0*time.Second),
+		Entry("not at all for large answers that begin as usual", func() *drive {
+			d := warmDrive()
+			for range 20 {
+				d.ramp.Observe(d.now, d.now, interactive, limit.Outcome{Latency: time.Second, FirstByte: latency})
+			}
+			return d
+		}, 8, 0*time.Second),
 		Entry("not at all for a single slow answer", func() *drive {
 			d := warmDrive()
 			d.ramp.Observe(d.now, d.now, interactive, limit.Outcome{Latency: time.Second})
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -124,6 +124,18 @@
 	return l.volume[direction][class].Load()
 }
 
+// Backlog is the number of bytes that open streams of known size have still to send. A host without any needs no share.
+func (l *Link) Backlog(direction Direction) int64 {
+	w := l.ways[direction]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := int64(0)
+	for _, bytes := range w.backlog {
+		sum += bytes
+	}
+	return sum
+}
+
 // Count counts bytes that can't be paced, such as messages of a protocol with its own deadlines. They are taken from the
 // share, so that other traffic makes up for them.
 func (l *Link) Count(direction Direction, class Class, bytes int) {
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -144,7 +144,9 @@
 		stream := open(link.File, 10_000_000, time.Hour)
 		_, err := l.Open(link.Out, link.File, 0, time.Second)
 		Expect(err).To(HaveOccurred())
+		Expect(l.Backlog(link.Out)).To(BeEquivalentTo(10_000_000))
 		stream.Close()
+		Expect(l.Backlog(link.Out)).To(BeZero())
 		open(link.File, 0, time.Second)
 	})
 
