Report lost attachments as released, renew at once, and give each POST of the load its own key

Cause: at 800 requests/s p99 was 543 ms. The routing log had 569 refusals 'moving' and 470 'owner-unreachable'; they fell on every fifth second, when the leader levels attachments between hosts. The leader waited a whole lease for each lost attachment, because the attached host never promised that it had stopped. Ruled out: elections (one per group) and lost targets (none). The 317 'doubled runs' of the load tool were POSTs with different Idempotency-Keys for the same key.

Change: the target manager reports stopped and released attachments, the host renews its lease at once to carry the report, and the load tool gives each POST a key of its own, so that the target's count must be 1.

--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -57,6 +57,8 @@
 	views     viewStore
 	manager   *target.Manager
 	draining  atomic.Bool
+	// renewNow asks for a renewal before the next interval.
+	renewNow chan struct{}
 
 	mu            sync.Mutex
 	controlLeader string
@@ -72,7 +74,7 @@
 
 // New opens the data folder and the listeners; Start begins to serve.
 func New(options Options) (*Host, error) {
-	h := &Host{options: options, settings: options.Settings, started: time.Now().UnixMilli()}
+	h := &Host{options: options, settings: options.Settings, started: time.Now().UnixMilli(), renewNow: make(chan struct{}, 1)}
 	start := time.Now()
 	h.clock = func() time.Duration { return time.Since(start) }
 	h.lease = lease.NewHolder(h.clock)
@@ -184,6 +186,7 @@
 		Lease:    h.lease.Remaining,
 		NewGate:  h.newGate,
 		Released: h.released,
+		Detached: h.renewSoon,
 		Scope:    h.metrics.Scope,
 	})
 }
--- a/pkg/host/loops.go
+++ b/pkg/host/loops.go
@@ -22,11 +22,27 @@
 
 // renewLoop renews the host lease with the leader of the group.
 func (h *Host) renewLoop(ctx context.Context) {
-	for pause(ctx, lease.RenewInterval) {
+	ticker := time.NewTicker(lease.RenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-h.renewNow:
+		}
 		h.renew(ctx)
 	}
 }
 
+// renewSoon makes the next renewal happen now, because it carries a report that others wait for.
+func (h *Host) renewSoon() {
+	select {
+	case h.renewNow <- struct{}{}:
+	default:
+	}
+}
+
 func (h *Host) renew(ctx context.Context) {
 	g := h.group.Load()
 	if g == nil {
--- a/pkg/loadgen/loadgen_test.go
+++ b/pkg/loadgen/loadgen_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -141,8 +142,10 @@
 			var mu sync.Mutex
 			sent := map[string]int{}
 			o := options(serve(func(w http.ResponseWriter, r *http.Request) {
+				// A POST adds its Idempotency-Key to the drawn key.
+				key := strings.TrimSuffix(r.Header.Get("Almondrock-Key"), "-"+r.Header.Get("Idempotency-Key"))
 				mu.Lock()
-				sent[r.Method+r.Header.Get("Almondrock-Key")]++
+				sent[r.Method+key]++
 				mu.Unlock()
 				good(w, r)
 			}))
--- a/pkg/loadgen/plan.go
+++ b/pkg/loadgen/plan.go
@@ -58,6 +58,8 @@
 	if p.random.Float64() < p.options.PostShare {
 		next.method = http.MethodPost
 		next.unique = fmt.Sprintf("load-%d-%d", p.options.Seed, p.number)
+		// A key of its own makes the target's count of runs that of this very request.
+		next.key += "-" + next.unique
 	}
 	return next, true
 }
--- a/pkg/target/manager.go
+++ b/pkg/target/manager.go
@@ -25,6 +25,9 @@
 	// Released is called when a moving shard is stopped, drained and revoked. It is called again on each Renew until
 	// the table shows the move as finished, so a lost call does no harm.
 	Released func(target string, shard *schemav1.ShardRecord)
+	// Detached is called when nothing is in flight any more at a target whose attachment was lost, so that the host can
+	// report it at once.
+	Detached func()
 	// Scope takes the metrics; none when nil.
 	Scope tally.Scope
 }
@@ -41,6 +44,7 @@
 	mu       sync.RWMutex
 	closed   bool
 	attached map[string]*Attached
+	detached map[string]*detachedTarget
 }
 
 // NewManager returns a manager without targets.
@@ -51,8 +55,14 @@
 	if options.Released == nil {
 		options.Released = func(string, *schemav1.ShardRecord) {}
 	}
+	if options.Detached == nil {
+		options.Detached = func() {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Manager{options: options, ctx: ctx, cancel: cancel, attached: map[string]*Attached{}}
+	return &Manager{
+		options: options, ctx: ctx, cancel: cancel, attached: map[string]*Attached{},
+		detached: map[string]*detachedTarget{},
+	}
 }
 
 // background runs task until it ends or the manager closes.
@@ -91,6 +101,7 @@
 		if !seen[name] {
 			a.close()
 			delete(m.attached, name)
+			m.detach(name, a)
 		}
 	}
 }
@@ -219,7 +230,7 @@
 // that was reported as unreachable gets no more grants or work until it is attached again.
 func (m *Manager) Reports() []*schemav1.TargetReport {
 	now := m.options.Clock()
-	var reports []*schemav1.TargetReport
+	reports := m.detachedReports(now)
 	for _, a := range m.all() {
 		announcement := a.Record().GetAnnouncement()
 		report := &schemav1.TargetReport{Target: announcement.GetTarget(), BootId: announcement.GetBootId()}
