--- a/pkg/control/view.go
+++ b/pkg/control/view.go
@@ -36,11 +36,10 @@
 	return outcome, ok
 }
 
-// Hosts returns all hosts by name order.
+// Hosts returns all hosts by name order. The slice is shared by all callers until the state changes, since polls and
+// steps of the leader read it many times a second; it must not be changed.
 func (s *State) Hosts() []*schemav1.Host {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.sortedHosts()
+	return s.View().GetHosts()
 }
 
 // Host returns the host called name.
