Wake a replica only when something is due

Cause: a replica woke at every tick of 10 ms.

Change: the core tells the tick at which it must be called next, and the replica arms one timer for it. The simulation skips idle cycles in the same way. A test with a paused clock reading guards the order of taking input and reading the clock, on which the promise to refuse votes depends; a variant with the order reversed makes it fail.

--- a/pkg/raft/ready.go
+++ b/pkg/raft/ready.go
@@ -108,6 +108,21 @@
 // Now returns the current tick.
 func (n *Node) Now() uint64 { return n.now }
 
+// idleTicks is how long a sealed member may sleep.
+const idleTicks = 1000
+
+// NextDue returns the tick by which TickBy must be called again if nothing else happens.
+func (n *Node) NextDue() uint64 {
+	switch {
+	case n.sealed:
+		return n.now + idleTicks
+	case n.role == Leader:
+		return n.heartbeatDue
+	default:
+		return n.electionDue
+	}
+}
+
 // Tail returns the entries that are not applied yet.
 func (n *Node) Tail() []*schemav1.Entry {
 	return n.log.between(n.log.applied+1, n.log.last(), maxInt)
--- a/pkg/replication/member.go
+++ b/pkg/replication/member.go
@@ -103,6 +103,9 @@
 	}
 }
 
+// nextDue returns the time since the start at which advance must be called again if there is no input before.
+func (m *member) nextDue() time.Duration { return time.Duration(m.node.NextDue()) * m.options.Tick }
+
 func (m *member) step(batch *schemav1.RaftBatch) error {
 	for _, message := range batch.GetMessages() {
 		if address := batch.GetFromAddress(); address != "" {
--- a/pkg/replication/replica.go
+++ b/pkg/replication/replica.go
@@ -57,11 +57,14 @@
 	return r, nil
 }
 
+// run wakes up for input and when something is due, not at every tick: an idle member costs few wake-ups.
 func (r *Replica) run() {
 	defer close(r.done)
-	ticker := r.member.options.Clock.NewTicker(r.member.options.Tick)
-	defer ticker.Stop()
 	defer r.leaseEnd.Store(0)
+	clock := r.member.options.Clock
+	armed := r.member.nextDue()
+	timer := clock.NewTimer(armed - clock.Since(r.start))
+	defer timer.Stop()
 	for {
 		var batches []*schemav1.RaftBatch
 		var calls []func()
@@ -69,7 +72,8 @@
 		case <-r.stop:
 			r.close(nil)
 			return
-		case <-ticker.Chan():
+		case <-timer.Chan():
+			armed = 0
 		case batch := <-r.inbox:
 			batches = append(batches, batch)
 		case call := <-r.calls:
@@ -80,6 +84,11 @@
 			r.close(err)
 			return
 		}
+		// A timer that is early costs one idle cycle; moving it with every heartbeat would cost more.
+		if due := r.member.nextDue(); armed == 0 || due < armed {
+			armed = due
+			timer.Reset(max(due-clock.Since(r.start), 0))
+		}
 	}
 }
 
--- a/pkg/replication/replica_test.go
+++ b/pkg/replication/replica_test.go
@@ -103,6 +103,76 @@
 	}
 }
 
+// answers keeps what a replica sends.
+type answers struct {
+	mutex sync.Mutex
+	kinds []schemav1.RaftMessageType
+}
+
+func (a *answers) Send(_ string, batch *schemav1.RaftBatch) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, m := range batch.GetMessages() {
+		a.kinds = append(a.kinds, m.GetType())
+	}
+}
+
+// pausingClock stops the process right after it has read the clock, once.
+type pausingClock struct {
+	*clockwork.FakeClock
+	armed           atomic.Bool
+	paused, release chan struct{}
+}
+
+func (c *pausingClock) Since(start time.Time) time.Duration {
+	elapsed := c.FakeClock.Since(start)
+	if c.armed.CompareAndSwap(true, false) {
+		close(c.paused)
+		<-c.release
+	}
+	return elapsed
+}
+
+// A heartbeat must not be handled with a reading of the clock from before it was sent. Otherwise the replica would vote
+// although the leader's lease, which starts when the heartbeat is sent, still holds.
+var _ = It("refuses votes after a heartbeat that arrived during a pause of its process", func() {
+	sent := &answers{}
+	clock := &pausingClock{
+		FakeClock: clockwork.NewFakeClock(), paused: make(chan struct{}), release: make(chan struct{}),
+	}
+	replica, err := New(Options{
+		ID: 1, Clock: clock, Storage: NewMemoryStorage(), Transport: sent, StateMachine: &recorder{},
+		InitialMembers: []*schemav1.Member{{Id: 1, Address: "1"}, {Id: 2, Address: "2"}, {Id: 3, Address: "3"}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	defer replica.Stop()
+	step := func(m *schemav1.RaftMessage) {
+		m.To = 1
+		Expect(replica.Step(&schemav1.RaftBatch{Messages: []*schemav1.RaftMessage{m}})).To(Succeed())
+	}
+	heartbeat := schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT
+	clock.armed.Store(true)
+	step(&schemav1.RaftMessage{Type: heartbeat, From: 2, Term: 5})
+	<-clock.paused
+	clock.Advance(500 * time.Millisecond)
+	step(&schemav1.RaftMessage{Type: heartbeat, From: 2, Term: 5})
+	close(clock.release)
+	for range 2 {
+		// Each call takes one cycle, so that the vote comes in a later one than the heartbeat.
+		_, err = replica.await(context.Background(), func(done done) { done(nil, nil) })
+		Expect(err).NotTo(HaveOccurred())
+	}
+	step(&schemav1.RaftMessage{
+		Type: schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE, From: 3, Term: 6, Index: 9, LogTerm: 5,
+	})
+	_, err = replica.await(context.Background(), func(done done) { done(nil, nil) })
+	Expect(err).NotTo(HaveOccurred())
+	sent.mutex.Lock()
+	defer sent.mutex.Unlock()
+	Expect(sent.kinds).To(ContainElement(schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_RESPONSE))
+	Expect(sent.kinds).NotTo(ContainElement(schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_RESPONSE))
+})
+
 // stuckProposal proposes at member 1 and returns once its goroutine hangs in a save, until release is called.
 func (c *cluster) stuckProposal(ctx context.Context, leader *Replica) (release func(), outcome chan error) {
 	storage := c.storages["1"]
--- a/pkg/replication/sim_test.go
+++ b/pkg/replication/sim_test.go
@@ -140,10 +140,10 @@
 	n.m, n.downUntil = nil, n.sim.now+downtime
 }
 
-// cycle does what Replica.cycle does. Without input and without a new tick there is nothing to do.
+// cycle does what Replica.cycle does. Without input it waits until something is due.
 func (n *simNode) cycle() {
 	inbox := n.inbox
-	if len(inbox) == 0 && uint64(n.elapsed()/n.m.options.Tick) == n.m.node.Now() {
+	if len(inbox) == 0 && n.elapsed() < n.m.nextDue() {
 		return
 	}
 	n.inbox = nil
