--- a/pkg/ownership/suite_test.go
+++ b/pkg/ownership/suite_test.go
@@ -57,9 +57,10 @@
 	}}
 }
 
-func lost(target, boot string) *schemav1.GroupCommand {
+// lost marks boot b1 of target t1 as lost.
+func lost() *schemav1.GroupCommand {
 	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_MarkTargetLost{
-		MarkTargetLost: &schemav1.MarkTargetLost{Target: target, BootId: boot},
+		MarkTargetLost: &schemav1.MarkTargetLost{Target: "t1", BootId: "b1"},
 	}}
 }
 
--- a/pkg/ownership/table_test.go
+++ b/pkg/ownership/table_test.go
@@ -94,14 +94,38 @@
 		Expect(l.apply(attach("t2", "h1", 0)).Applied).To(BeFalse(), "old attachment")
 	})
 
+	// A release from before the target was attached again must not end the move: the new host may be sending (I1).
+	It("I1: ignores a release under an earlier fence", func() {
+		l := ready()
+		fence := l.assignment(0).Fence.Counter
+		l.apply(startMove(change(0, "t2", fence, 0)))
+		l.apply(attach("t1", "h2", l.t1().Attachment))
+		Expect(l.assignment(0).Moving).To(BeTrue())
+		Expect(l.apply(finishMove(change(0, "", fence, 0))).Applied).To(BeFalse())
+	})
+
+	// Targets that check fences must be able to refuse what a host or data centre sends late (I1, I8).
+	It("I8: raises fences with each attachment and epoch", func() {
+		l := ready()
+		old := l.assignment(0).Fence
+		l.apply(attach("t1", "h2", l.t1().Attachment))
+		attached := l.assignment(0).Fence
+		Expect(ownership.CompareFences(attached, old)).To(Equal(1))
+		v := view(2, 2, 4)
+		v.Delegations[0].Runs[0].Epoch = 2
+		l.apply(setView(v))
+		Expect(l.assignment(0).Fence.Epoch).To(BeNumerically("==", 2))
+		Expect(l.assignment(0).Fence.Counter).To(BeNumerically(">", attached.Counter))
+	})
+
 	// A target that returned and was attached again between plan and commit still serves its shards (I1).
 	It("I1: does not reassign the shards of a target that was attached again", func() {
 		l := ready()
-		l.apply(lost("t1", "b1"))
+		l.apply(lost())
 		planned := change(1, "t2", l.assignment(1).Fence.Counter, l.t1().Attachment)
 		l.apply(register(announcement("t1", "b1", 6)))
 		Expect(l.apply(attach("t1", "h2", l.t1().Attachment)).Applied).To(BeTrue())
-		l.apply(lost("t1", "b1"))
+		l.apply(lost())
 		planned.ExpectedFenceCounter = l.assignment(1).Fence.Counter
 		Expect(l.apply(assign(planned)).Applied).To(BeFalse())
 	})
@@ -196,7 +220,7 @@
 		changed := l.table.Changed()
 		l.apply(begin("id", "h1", 1, 9))
 		Expect(changed).NotTo(BeClosed())
-		l.apply(lost("t1", "b1"))
+		l.apply(lost())
 		Expect(changed).To(BeClosed())
 	})
 })
