Sharpen two tests that passed without the rule they guard

Cause: trial mutations on a scratch copy survived in two places: failures of requests that ran at the same time counted again, and a stalled target was no longer noticed by its open request.

Change: the first test lets 8 requests fail at once, and the second gives all targets as many requests in flight.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -104,7 +104,16 @@
 		b.serve(200, same)
 		stalled := b.chooser.Choose(balance.Query{})
 		b.now += 5 * usual
-		Expect(b.serve(100, same)[stalled.Target.Name]).To(BeZero())
+		// The others get as many requests in flight, so that only the age of the open request tells them apart.
+		tried := []string{stalled.Target.Name}
+		for range 4 {
+			tried = append(tried, b.chooser.Choose(balance.Query{Tried: tried}).Target.Name)
+		}
+		for range 100 {
+			choice := b.chooser.Choose(balance.Query{})
+			Expect(choice.Target.Name).NotTo(Equal(stalled.Target.Name))
+			choice.Done(balance.Outcome{Latency: usual})
+		}
 	})
 
 	It("probes a target that stays slow ever more rarely", func() {
--- a/pkg/limit/ramp_test.go
+++ b/pkg/limit/ramp_test.go
@@ -92,7 +92,7 @@
 		Entry("once for failures of requests that ran at the same time", func() *drive {
 			d := warmDrive()
 			started := d.now
-			for range 2 {
+			for range 8 {
 				d.now += time.Millisecond
 				d.ramp.Observe(d.now, started, interactive, limit.Outcome{Result: limit.Shed})
 			}
