Wait for requests of earlier attachments; send callers elsewhere while draining

Cause: requests in flight were counted per attachment, so a move after a new attachment did not wait for requests that had begun under the old one, and the key could get a second owner while the first still worked. Announcements with other limits replaced the attachment as well. Refusals before routing were not logged, and a draining host kept its callers.

Change: the list of requests in flight belongs to the target; announcements change an attachment in place. A draining host serves on and closes its callers' connections. Every refusal is logged, without the hash outside the home regions. Tests for bodies that break off and for an attachment that ends right before the write.

Before: with one list per attachment (this code with that part taken out), 2 of the 4 cases of the new table fail; with the check of the attachment taken out of the guard, no test failed. After: the table passes, and a test fails without that check; 'go test -race ./pkg/target ./pkg/proxy' passes.

Conclusion: drains hold over re-attachment.

--- a/pkg/proxy/answer.go
+++ b/pkg/proxy/answer.go
@@ -79,6 +79,9 @@
 	} else {
 		header[headerTarget] = a.header[headerTarget]
 	}
+	if x.leaving() {
+		header["Connection"] = []string{"close"}
+	}
 	for name := range response.Trailer {
 		if passesOn(name) {
 			header.Add("Trailer", name)
--- a/pkg/proxy/caller_test.go
+++ b/pkg/proxy/caller_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"time"
 
@@ -13,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/proxy"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 	"almondrock.example/almondrock/pkg/standin"
 	"almondrock.example/almondrock/pkg/target"
@@ -244,3 +247,34 @@
 		Expect(w.looks).To(Equal(4))
 	})
 })
+
+// failingBody gives some bytes and then fails, as a connection does whose caller is slow or gone.
+type failingBody struct {
+	data io.Reader
+	err  error
+}
+
+func (f *failingBody) Read(data []byte) (int, error) {
+	if n, err := f.data.Read(data); err == nil {
+		return n, nil
+	}
+	return 0, f.err
+}
+
+// A target must not run a request whose body is incomplete, and the caller must learn what was wrong with it.
+var _ = DescribeTable("I7: bodies that break off",
+	func(size int, failure error, code apierr.Code, status int) {
+		w, h, server := oneHost()
+		w.resolution.MaxBody = 1000
+		request := httptest.NewRequest("POST", "/desk/book", &failingBody{strings.NewReader(strings.Repeat("b", size)), failure})
+		request.Header.Set("Almondrock-Key", key)
+		recorder := httptest.NewRecorder()
+		proxy.NewIngress(h.options).ServeHTTP(recorder, request)
+		Expect(recorder.Code).To(Equal(status))
+		Expect((&reply{body: recorder.Body.Bytes()}).refusal().Code).To(Equal(code))
+		Expect(server.Runs()).To(BeEmpty())
+	},
+	Entry("no byte for 30 s", 10, os.ErrDeadlineExceeded, apierr.Deadline, 504),
+	Entry("connection lost", 10, io.ErrUnexpectedEOF, apierr.BadRequest, 400),
+	Entry("over the limit without a stated length", 1001, io.EOF, apierr.BodyTooLarge, 413),
+)
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -54,12 +54,19 @@
 	if err == nil {
 		return
 	}
+	if x.ctx == nil {
+		x.decide(place{}, string(apierr.From(err).Code))
+	}
 	if x.answering || errors.Is(err, errAborted) || r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
 	x.refuse(x.truthful(err))
 }
 
+// leaving reports whether callers should go to another host: this one drains for a planned stop (I10). It serves what
+// still comes, so no caller sees the stop.
+func (x *exchange) leaving() bool { return !x.forwarded && x.options.Directory.Draining() }
+
 // truthful takes back the claim of a last attempt that an earlier one may not share.
 func (x *exchange) truthful(err error) error {
 	refusal := *apierr.From(err)
@@ -78,7 +85,7 @@
 	if x.forwarded {
 		header.Set(headerRefusal, string(apierr.From(err).Code))
 	}
-	if !x.body.finished() {
+	if x.leaving() || !x.body.finished() {
 		// The rest of the body is not wanted; reading it would keep a slow caller's connection busy.
 		header.Set("Connection", "close")
 	}
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -56,6 +56,7 @@
 	world              *world
 	name, dataCentre   string
 	lease              atomic.Int64
+	draining           atomic.Bool
 	manager            *target.Manager
 	options            proxy.Options
 	ingress, forwarded *http.Server
@@ -221,7 +222,7 @@
 }
 
 func (h *host) Lease() time.Duration { return time.Duration(h.lease.Load()) }
-func (h *host) Draining() bool       { return false }
+func (h *host) Draining() bool       { return h.draining.Load() }
 
 func (h *host) Self() proxy.Identity {
 	return proxy.Identity{Host: h.name, DataCentre: h.dataCentre, Region: h.world.RegionOf(h.dataCentre), Number: 1}
--- a/pkg/proxy/owner_test.go
+++ b/pkg/proxy/owner_test.go
@@ -40,6 +40,7 @@
 	Entry("new owner right before the write", nil, newFence, apierr.Moving),
 	Entry("move starts right before the write", nil, startMove, apierr.Moving),
 	Entry("attachment ends in the queue", detach, nil, apierr.OwnerUnreachable),
+	Entry("attachment ends right before the write", nil, detach, apierr.OwnerUnreachable),
 )
 
 func endLease(_ *world, h *host) { h.lease.Store(0) }
--- a/pkg/proxy/path_test.go
+++ b/pkg/proxy/path_test.go
@@ -1,10 +1,17 @@
 package proxy_test
 
 import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/decisionlog"
 	"almondrock.example/almondrock/pkg/proxy"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 	"almondrock.example/almondrock/pkg/standin"
@@ -27,6 +34,47 @@
 		Expect(server.Runs()).To(HaveLen(1))
 	})
 
+	It("I10: serves callers while it drains, and sends their next requests elsewhere", func() {
+		_, h, _, _ := twoHosts(standin.Options{})
+		// closes reports whether the answer asks the caller to use another connection.
+		closes := func(path string, status int) bool {
+			request, _ := http.NewRequest("GET", "http://"+h.address+path, nil)
+			request.Header.Set("Almondrock-Key", key)
+			response, err := http.DefaultClient.Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			Expect(response.StatusCode).To(Equal(status))
+			return response.Close
+		}
+		Expect(closes("/desk/a", 200)).To(BeFalse())
+		Expect(closes("/other/a", 404)).To(BeFalse())
+		h.draining.Store(true)
+		Expect(closes("/desk/a", 200)).To(BeTrue())
+		Expect(closes("/other/a", 404)).To(BeTrue())
+	})
+
+	It("I5: logs one line per decision, without the key, and without its hash outside the home regions", func() {
+		var lines bytes.Buffer
+		klog.LogToStderr(false)
+		klog.SetOutput(&lines)
+		DeferCleanup(func() {
+			klog.SetOutput(io.Discard)
+			klog.LogToStderr(true)
+		})
+		w := newWorld()
+		w.addTarget("t1", standin.Options{})
+		h := w.addHost("h1", "seoul-gangnam", func(o *proxy.Options) { o.Log = decisionlog.New("h1", true) })
+		w.own("t1", "h1", 5)
+		Expect(ask("GET", h.address, "/desk/a", "").status).To(Equal(200))
+		w.resolution.HomeRegions = []string{"busan"}
+		Expect(ask("GET", h.address, "/desk/a", "").status).To(Equal(421))
+		klog.Flush()
+		Expect(lines.String()).To(ContainSubstring(`target="t1" fence="1.1.5" attempt=2 reason="answered"`))
+		Expect(lines.String()).To(MatchRegexp(`keyHash="" .* reason="wrong-region"`))
+		Expect(strings.Count(lines.String(), "\n")).To(Equal(2))
+		Expect(lines.String()).NotTo(ContainSubstring(key))
+	})
+
 	DescribeTable("I5: crosses to another data centre only within the home regions",
 		func(from string, home []string, served bool) {
 			w, _, _ := oneHost()
--- a/pkg/proxy/place.go
+++ b/pkg/proxy/place.go
@@ -124,8 +124,13 @@
 	if x.options.Log == nil {
 		return
 	}
+	service := x.service
+	if x.resolution.Service == nil {
+		// Until it is resolved, the name is whatever a caller wrote.
+		service = ""
+	}
 	entry := decisionlog.Routing{
-		RequestID: x.id, Service: x.service, Keyspace: x.resolution.Keyspace, Shard: x.shard, KeyHash: x.hash,
+		RequestID: x.id, Service: service, Keyspace: x.resolution.Keyspace, Shard: x.shard, KeyHash: x.hash,
 		Hop: "ingress", Host: p.host, DataCentre: p.dataCentre, Target: p.target, Attempt: x.sends + 1, Reason: reason,
 	}
 	switch {
--- a/pkg/target/attached.go
+++ b/pkg/target/attached.go
@@ -22,14 +22,15 @@
 	health  health
 	granter granter
 
-	mu      sync.Mutex
-	record  *schemav1.TargetRecord
-	pool    *Pool
-	units   map[unitID]*unit
-	works   map[*Work]struct{}
-	changed chan struct{}
-	clock   clockAnchor
-	closed  bool
+	mu     sync.Mutex
+	record *schemav1.TargetRecord
+	pool   *Pool
+	units  map[unitID]*unit
+	clock  clockAnchor
+	closed bool
+
+	// flights outlives the attachment: a move must also wait for requests that began under an earlier one.
+	flights *flights
 }
 
 // Scope is what a request is about: its place among the shards and its deadline.
@@ -84,7 +85,7 @@
 		return nil, err
 	}
 	work := &Work{attached: a, scope: scope, unit: unit, started: a.manager.options.Clock()}
-	a.works[work] = struct{}{}
+	a.flights.add(work)
 	a.health.begin(work.started)
 	return work, nil
 }
@@ -142,19 +143,10 @@
 		a := w.attached
 		now := a.manager.options.Clock()
 		a.health.end(now, now-w.started, keyID{keyspace: w.scope.Keyspace, hash: w.scope.KeyHash})
-		a.mu.Lock()
-		delete(a.works, w)
-		a.notify()
-		a.mu.Unlock()
+		a.flights.remove(w)
 	})
 }
 
-// notify wakes drains. It needs the lock.
-func (a *Attached) notify() {
-	close(a.changed)
-	a.changed = make(chan struct{})
-}
-
 // Send sends request to the target once; the request's URL needs only path and query. The guard runs immediately
 // before the first byte is written. Send fails with *SendError.
 func (a *Attached) Send(request *http.Request, guard func() error) (*Exchange, error) {
@@ -226,15 +218,9 @@
 
 // InFlight returns the number of requests in flight for a shard.
 func (a *Attached) InFlight(keyspace string, shard uint32) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	count := 0
-	for work := range a.works {
-		if work.scope.Keyspace == keyspace && work.scope.Shard == shard {
-			count++
-		}
-	}
-	return count
+	return a.flights.count(func(work *Work) bool {
+		return work.scope.Keyspace == keyspace && work.scope.Shard == shard
+	})
 }
 
 // clockAnchor is a reading of the target's clock. The reading was taken before the answer that carried it arrived, so
--- a/pkg/target/grants.go
+++ b/pkg/target/grants.go
@@ -136,7 +136,7 @@
 			u.state = unitGranted
 		}
 	}
-	a.notify()
+	a.flights.notify()
 }
 
 // expectedHeld is the number of grants that the target should hold.
--- a/pkg/target/manager.go
+++ b/pkg/target/manager.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/protobuf/proto"
 
 	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/metrics"
@@ -41,6 +40,7 @@
 	mu       sync.RWMutex
 	closed   bool
 	attached map[string]*Attached
+	flights  map[string]*flights
 }
 
 // NewManager returns a manager without targets.
@@ -52,7 +52,7 @@
 		options.Released = func(string, *schemav1.ShardRecord) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Manager{options: options, ctx: ctx, cancel: cancel, attached: map[string]*Attached{}}
+	return &Manager{options: options, ctx: ctx, cancel: cancel, attached: map[string]*Attached{}, flights: map[string]*flights{}}
 }
 
 // background runs task until it ends or the manager closes.
@@ -93,6 +93,7 @@
 			delete(m.attached, name)
 		}
 	}
+	m.forgetFlights()
 }
 
 // ensure returns the attached target for record. A new attachment or boot of a target that was unreachable starts
@@ -109,7 +110,7 @@
 	announcement := record.GetAnnouncement()
 	a = &Attached{
 		manager: m, gate: m.options.NewGate(record), record: record, pool: newTargetPool(announcement),
-		units: map[unitID]*unit{}, works: map[*Work]struct{}{}, changed: make(chan struct{}),
+		units: map[unitID]*unit{}, flights: m.flightsOf(name),
 	}
 	now := m.options.Clock()
 	a.health.changed, a.health.reported = now, now
@@ -121,6 +122,25 @@
 	return a
 }
 
+// flightsOf returns the requests in flight at a target, also those of earlier attachments.
+func (m *Manager) flightsOf(name string) *flights {
+	found, ok := m.flights[name]
+	if !ok {
+		found = newFlights()
+		m.flights[name] = found
+	}
+	return found
+}
+
+// forgetFlights drops the lists of targets that are gone and have nothing in flight.
+func (m *Manager) forgetFlights() {
+	for name, flights := range m.flights {
+		if _, ok := m.attached[name]; !ok && flights.count(func(*Work) bool { return true }) == 0 {
+			delete(m.flights, name)
+		}
+	}
+}
+
 // connectionPlan divides the announced connections: the pool, those opened ahead, and one for a probe. Connections are
 // opened ahead only where plenty are left.
 func connectionPlan(announcement *schemav1.Announcement) (pool, warm int) {
@@ -144,35 +164,42 @@
 func (a *Attached) renewable(record *schemav1.TargetRecord) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	old, next := a.record.GetAnnouncement(), record.GetAnnouncement()
-	return a.record.GetAttachment() == record.GetAttachment() && old.GetAddress() == next.GetAddress() &&
-		old.GetMaxConnections() == next.GetMaxConnections() && proto.Equal(old.GetCapabilities(), next.GetCapabilities()) &&
-		(old.GetBootId() == next.GetBootId() || !a.health.isUnreachable())
+	return a.record.GetAttachment() == record.GetAttachment() &&
+		(a.record.GetAnnouncement().GetBootId() == record.GetAnnouncement().GetBootId() || !a.health.isUnreachable())
 }
 
+// update takes over what the target announces of itself. Requests in flight go on.
 func (a *Attached) update(record *schemav1.TargetRecord) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	old, next := a.record.GetAnnouncement(), record.GetAnnouncement()
 	a.record = record
-	if old.GetBootId() == next.GetBootId() && old.GetSlots() == next.GetSlots() {
-		return
+	if old.GetAddress() != next.GetAddress() || old.GetMaxConnections() != next.GetMaxConnections() ||
+		old.GetSlots() != next.GetSlots() {
+		a.pool.Close()
+		a.pool = newTargetPool(next)
+	}
+	if old.GetBootId() != next.GetBootId() || old.GetSlots() != next.GetSlots() {
+		a.gate.Boot(next.GetBootId(), next.GetSlots())
 	}
-	a.gate.Boot(next.GetBootId(), next.GetSlots())
 	if old.GetBootId() != next.GetBootId() {
 		a.clock.set(next.GetClockMs(), a.manager.options.Clock())
+	}
+	if old.GetBootId() != next.GetBootId() || old.GetCapabilities().GetFence() != next.GetCapabilities().GetFence() {
 		a.forgetGrants()
 	}
 }
 
-// forgetGrants makes all granted units wait for a new grant, as a restarted target holds none. It needs the lock.
+// forgetGrants makes all units wait for a new grant, as a restarted target holds none. A target that checks no fences
+// needs none. It needs the lock.
 func (a *Attached) forgetGrants() {
-	if !a.record.GetAnnouncement().GetCapabilities().GetFence() {
-		return
+	state := unitGranted
+	if a.record.GetAnnouncement().GetCapabilities().GetFence() {
+		state = unitPending
 	}
 	for _, u := range a.units {
-		if u.state == unitGranted {
-			u.state = unitPending
+		if u.state <= unitGranted {
+			u.state = state
 		}
 	}
 }
@@ -180,9 +207,9 @@
 func (a *Attached) close() {
 	a.mu.Lock()
 	a.closed = true
-	a.notify()
 	pool := a.pool
 	a.mu.Unlock()
+	a.flights.notify()
 	pool.Close()
 }
 
--- a/pkg/target/manager_test.go
+++ b/pkg/target/manager_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"almondrock.example/almondrock/pkg/apierr"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -234,6 +235,32 @@
 		Eventually(r.releases).Should(Equal(1))
 	})
 
+	DescribeTable("waits for requests that began before the target changed",
+		func(change func(r *rig)) {
+			r := newRig(nil)
+			r.sync(shard(7, owned, 5))
+			work := r.begin(scope(7, 1, 5))
+			r.record = proto.Clone(r.record).(*schemav1.TargetRecord)
+			change(r)
+			r.sync(shard(7, owned, 5))
+			r.begin(scope(7, 1, 5)).End()
+			r.sync(shard(7, moving, 5))
+			Consistently(r.releases, "20ms").Should(BeZero())
+			work.End()
+			Eventually(r.releases).Should(Equal(1))
+		},
+		Entry("another attachment", func(r *rig) { r.record.Attachment = 2 }),
+		Entry("detached for a while", func(r *rig) {
+			r.manager.Sync(context.Background(), nil, nil)
+			r.record.Attachment = 3
+		}),
+		Entry("more connections", func(r *rig) { r.record.Announcement.MaxConnections = 200 }),
+		Entry("restarted", func(r *rig) {
+			r.server.Restart()
+			r.record.Announcement = r.server.Announcement()
+		}),
+	)
+
 	It("reports its release again until the table shows it", func() {
 		r := newRig(nil)
 		r.sync(shard(7, moving, 5))
--- a/pkg/target/units.go
+++ b/pkg/target/units.go
@@ -134,9 +134,11 @@
 // the release was overtaken by a change of the table.
 func (a *Attached) drain(ctx context.Context, u *unit) bool {
 	for {
+		changed := a.flights.next()
 		a.mu.Lock()
-		current, busy, changed := a.units[u.id] == u && !a.closed, a.busy(u), a.changed
+		current := a.units[u.id] == u && !a.closed
 		a.mu.Unlock()
+		busy := a.flights.count(u.covers) > 0
 		if !current {
 			return false
 		}
@@ -151,21 +153,16 @@
 	}
 }
 
-// busy reports whether a request of the unit is in flight. A request that began before its key became hot counts for
-// the hot key too. It needs the lock.
-func (a *Attached) busy(u *unit) bool {
-	for work := range a.works {
-		if work.scope.Fence == nil || work.scope.Keyspace != u.id.keyspace {
-			continue
-		}
-		if u.id.hot && work.scope.KeyHash == u.id.keyHash {
-			return true
-		}
-		if !u.id.hot && work.unit.id == u.id {
-			return true
-		}
+// covers reports whether the unit's release waits for the request. A request that began before its key became hot counts
+// for the hot key too.
+func (u *unit) covers(work *Work) bool {
+	if work.unit == nil || work.scope.Keyspace != u.id.keyspace {
+		return false
+	}
+	if u.id.hot {
+		return work.scope.KeyHash == u.id.keyHash
 	}
-	return false
+	return work.unit.id == u.id
 }
 
 // revoke takes the grant back. When the target does not answer, it waits until the grant has expired.
