--- a/pkg/target/detached.go
+++ b/pkg/target/detached.go
@@ -43,10 +43,8 @@
 // drainAll waits until no request is in flight; each ends at its deadline at the latest.
 func (a *Attached) drainAll(ctx context.Context) bool {
 	for {
-		a.mu.Lock()
-		count, changed := len(a.works), a.changed
-		a.mu.Unlock()
-		if count == 0 {
+		changed := a.flights.next()
+		if a.flights.count(func(*Work) bool { return true }) == 0 {
 			return true
 		}
 		select {
