Give each generation of a data centre group time to elect a leader

Cause: the leader of the control group took a group for leaderless when its hosts reported no leader and none had reported for 1.5 s, without regard to when the generation was formed. A group that is formed more than 1.5 s after the control leader's election was sealed and replaced every 250 ms, before its hosts, who learn of a generation by polling, could elect.

Seen with processes started by hand, two hosts in one data centre: 132 generations in 30 s, both hosts never ready ('no host lease'). With three hosts the group forms before the delay, which hides it.

Change: the delay counts from when this control leader first saw the present generation.

Conclusion: data centres of fewer than three hosts start; a next generation after a lost majority took the same path.

--- a/pkg/control/driver.go
+++ b/pkg/control/driver.go
@@ -49,6 +49,13 @@
 	hosts       map[string]hostReport
 	missing     map[string]time.Duration
 	lostSince   map[string]time.Duration
+	generations map[string]generationSeen
+}
+
+// generationSeen tells since when this leader has known the present generation of a group.
+type generationSeen struct {
+	generation uint64
+	since      time.Duration
 }
 
 // NewDriver returns the driver of a host that became leader at now.
@@ -61,6 +68,7 @@
 		hosts:       map[string]hostReport{},
 		missing:     map[string]time.Duration{},
 		lostSince:   map[string]time.Duration{},
+		generations: map[string]generationSeen{},
 	}
 }
 
--- a/pkg/control/generation.go
+++ b/pkg/control/generation.go
@@ -19,14 +19,20 @@
 	Seal(ctx context.Context, address string, request *schemav1.SealRequest) (*schemav1.SealResponse, error)
 }
 
-// LeaderlessGroups returns the groups whose live hosts report that they have no leader.
+// LeaderlessGroups returns the groups whose live hosts report that they have no leader. A generation has the whole delay
+// for its first election: hosts learn of it only by polling, and a next one would seal it before it can elect.
 func (d *Driver) LeaderlessGroups(now time.Duration) []*schemav1.GroupAssignment {
-	if now-d.leaderSince < leaderlessDelay {
-		return nil
-	}
 	var groups []*schemav1.GroupAssignment
 	for _, dataCentre := range d.state.DataCentresWithGroups() {
 		group, _ := d.state.Group(dataCentre)
+		seen, ok := d.generations[dataCentre]
+		if !ok || seen.generation != group.GetGeneration() {
+			seen = generationSeen{generation: group.GetGeneration(), since: now}
+			d.generations[dataCentre] = seen
+		}
+		if now-seen.since < leaderlessDelay {
+			continue
+		}
 		report, reported := d.reports[dataCentre]
 		if reported && now-report.at < leaderlessDelay {
 			continue
