Use mutual TLS between hosts and for administration

Cause: rpc, forwarded requests and administration ran in plain text whatever the settings; anyone who reached them could speak for a host or submit.

Change: settings for certificate, key and authorities of hosts and almondctl, and insecure. A process with neither, both or a part of them refuses to start (one typed error); plain text logs a warning. - rpc and data accept certificates of hosts only. Join, Renew, Poll, Bootstrap and AddMember are refused when they claim another name or data centre than the certificate, and so are Propose and Announce from another data centre. - administration: /healthz and /readyz without a certificate (TLS, for the balancer); GET paths and /v1/plan for operators and hosts; /v1/submit for the operators in submitters, all when empty. The operator recorded with a submission is the certificate's. - The pool between hosts starts TLS below the connection that tracks writes, so what is known about written bytes stays true. - almondrock trial-certs makes a throwaway authority; the dev command runs with insecure. Callers and targets stay on plain HTTP in this release.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -77,7 +77,7 @@
 
 func call(backend *fakeBackend, method, path string, body io.Reader) *httptest.ResponseRecorder {
 	recorder := httptest.NewRecorder()
-	admin.NewHandler(backend, metrics).ServeHTTP(recorder, httptest.NewRequest(method, path, body))
+	admin.NewHandler(backend, metrics, admin.Access{}).ServeHTTP(recorder, httptest.NewRequest(method, path, body))
 	return recorder
 }
 
@@ -169,7 +169,7 @@
 		request := httptest.NewRequest("POST", "/v1/submit", io.LimitReader(zeros{}, 64<<20+1))
 		request.ContentLength = length
 		response := httptest.NewRecorder()
-		admin.NewHandler(backend, metrics).ServeHTTP(response, request)
+		admin.NewHandler(backend, metrics, admin.Access{}).ServeHTTP(response, request)
 		Expect(response.Code).To(Equal(413))
 		Expect(refusalOf(response).Code).To(Equal(apierr.BodyTooLarge))
 		Expect(backend.commits).To(BeZero())
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -35,20 +35,20 @@
 }
 
 // NewHandler returns the handler of the administration address. metrics serves /metrics.
-func NewHandler(backend Backend, metrics http.Handler) http.Handler {
+func NewHandler(backend Backend, metrics http.Handler, access Access) http.Handler {
 	server := echo.New()
 	server.HideBanner, server.HidePort = true, true
 	server.HTTPErrorHandler = writeError
-	server.Use(middleware.BodyLimit(maxBody))
+	server.Use(access.check, middleware.BodyLimit(maxBody))
 	api := &api{backend: backend}
-	server.GET("/healthz", api.health)
-	server.GET("/readyz", api.ready)
+	server.GET(pathHealth, api.health)
+	server.GET(pathReady, api.ready)
 	server.GET("/metrics", echo.WrapHandler(metrics))
 	server.GET("/v1/status", api.status)
 	server.GET("/v1/explain", api.explain)
 	server.GET("/v1/configuration", api.configuration)
 	server.POST("/v1/plan", api.plan)
-	server.POST("/v1/submit", api.submit)
+	server.POST(pathSubmit, api.submit)
 	profiles := server.Group("/debug/pprof")
 	profiles.GET("/", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	profiles.GET("/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
@@ -117,6 +117,10 @@
 	if submission.GetId() == "" {
 		return apierr.New(apierr.BadRequest, "the submission has no id")
 	}
+	if operator, ok := c.Get(operatorKey).(string); ok {
+		// The certificate says who submits; the body may say anything.
+		submission.Operator = operator
+	}
 	outcome, err := a.backend.Submit(c.Request().Context(), submission)
 	status := http.StatusOK
 	switch outcome.GetVerdict() {
--- a/pkg/cli/ctl/client.go
+++ b/pkg/cli/ctl/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -37,13 +38,18 @@
 
 // Client is the API over HTTP.
 type Client struct {
-	address string
-	http    *http.Client
+	address, scheme string
+	http            *http.Client
 }
 
-// NewClient returns a client of the API at address, IP:PORT. Proxies of the environment are not used.
-func NewClient(address string) *Client {
-	return &Client{address: address, http: &http.Client{Transport: &http.Transport{Proxy: nil}}}
+// NewClient returns a client of the API at address, IP:PORT, in plain text when config is nil. Proxies of the
+// environment are not used.
+func NewClient(address string, config *tls.Config) *Client {
+	client := &Client{address: address, scheme: "http", http: &http.Client{Transport: &http.Transport{Proxy: nil, TLSClientConfig: config}}}
+	if config != nil {
+		client.scheme = "https"
+	}
+	return client
 }
 
 // Status implements API.
@@ -127,7 +133,7 @@
 		}
 		body = bytes.NewReader(encoded)
 	}
-	target := url.URL{Scheme: "http", Host: c.address, Path: path, RawQuery: query.Encode()}
+	target := url.URL{Scheme: c.scheme, Host: c.address, Path: path, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, method, target.String(), body)
 	if err != nil {
 		return 0, nil, c.unreachable("the address is not usable")
--- a/pkg/cli/ctl/commands.go
+++ b/pkg/cli/ctl/commands.go
@@ -42,7 +42,10 @@
 			return err
 		}
 		submission.Operator = t.settings.GetOperator()
-		ctx, cancel, api := t.call(command)
+		ctx, cancel, api, err := t.call(command)
+		if err != nil {
+			return err
+		}
 		defer cancel()
 		plan, err := api.Plan(ctx, submission)
 		if err != nil {
@@ -64,7 +67,10 @@
 	return &cobra.Command{
 		Use: "status", Short: "Show the state of the deployment", Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			ctx, cancel, api := t.call(command)
+			ctx, cancel, api, err := t.call(command)
+			if err != nil {
+				return err
+			}
 			defer cancel()
 			status, err := api.Status(ctx)
 			if err != nil {
@@ -80,7 +86,10 @@
 	command := &cobra.Command{
 		Use: "explain KEY --service SERVICE [--tenant TENANT]", Short: "Show who owns a key and why", Args: cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
-			ctx, cancel, api := t.call(command)
+			ctx, cancel, api, err := t.call(command)
+			if err != nil {
+				return err
+			}
 			defer cancel()
 			explanation, err := api.Explain(ctx, service, tenant, args[0])
 			if err != nil {
--- a/pkg/cli/ctl/ctl.go
+++ b/pkg/cli/ctl/ctl.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"almondrock.example/almondrock/pkg/loadgen"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 	"almondrock.example/almondrock/pkg/settings"
+	"almondrock.example/almondrock/pkg/tlsconfig"
 )
 
 // Exit codes.
@@ -34,8 +36,8 @@
 	Out, Err io.Writer
 	// Environ is in the form of os.Environ.
 	Environ []string
-	// Connect returns the API at an address; NewClient by default.
-	Connect func(address string) API
+	// Connect returns the API at an address, in plain text when config is nil; NewClient by default.
+	Connect func(address string, config *tls.Config) API
 	// Sleep waits between resends; it returns early with an error when the context ends.
 	Sleep func(ctx context.Context, duration time.Duration) error
 	// Now is the time recorded with a submission.
@@ -46,7 +48,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.Connect == nil {
-		o.Connect = func(address string) API { return NewClient(address) }
+		o.Connect = func(address string, config *tls.Config) API { return NewClient(address, config) }
 	}
 	if o.Sleep == nil {
 		o.Sleep = sleep
@@ -156,10 +158,20 @@
 
 func (t *tool) isJSON() bool { return t.settings.GetOutput() == "json" }
 
-// call bounds the time of all calls of a command.
-func (t *tool) call(command *cobra.Command) (context.Context, context.CancelFunc, API) {
+// call bounds the time of all calls of a command. It fails with the errors of tlsconfig.Open.
+func (t *tool) call(command *cobra.Command) (context.Context, context.CancelFunc, API, error) {
+	source, err := tlsconfig.Open(tlsconfig.Files{
+		Certificate: t.settings.GetCertificate(), Key: t.settings.GetKey(), Authorities: t.settings.GetAuthorities(),
+	}, t.settings.GetInsecure())
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	var config *tls.Config
+	if source != nil {
+		config = source.Client(tlsconfig.AnyHost)
+	}
 	ctx, cancel := context.WithTimeout(command.Context(), t.timeout)
-	return ctx, cancel, t.Connect(t.settings.GetAddress())
+	return ctx, cancel, t.Connect(t.settings.GetAddress(), config), nil
 }
 
 func sleep(ctx context.Context, duration time.Duration) error {
--- a/pkg/cli/ctl/ctl_test.go
+++ b/pkg/cli/ctl/ctl_test.go
@@ -119,7 +119,7 @@
 	var out, errs bytes.Buffer
 	var r result
 	if fake != nil {
-		args = append(args, "--address", strings.TrimPrefix(fake.URL, "http://"))
+		args = append(args, "--insecure", "--address", strings.TrimPrefix(fake.URL, "http://"))
 	}
 	r.code = ctl.Run(context.Background(), args, ctl.Options{
 		Out: &out, Err: &errs, Environ: environ,
@@ -168,6 +168,8 @@
 	Entry("missing flag", ctl.ExitUsage, "", "almondctl: required flag(s) \"base\" not set\nRun 'almondctl --help' for usage.\n", "check"),
 	Entry("unknown command", ctl.ExitUsage, "", "almondctl: unknown command \"chekc\" for \"almondctl\"\nRun 'almondctl --help' for usage.\n", "chekc"),
 	Entry("wrong settings", ctl.ExitUsage, "", `--output (ALMONDROCK_OUTPUT): "xml" from the flag; expected one of text, json`+"\n", "version", "--output", "xml"),
+	Entry("neither TLS nor plain text chosen", ctl.ExitUsage, "", "almondctl: neither TLS files nor --insecure are set; "+
+		"set --tls-certificate, --tls-key and --tls-authorities, or --insecure for plain text\nRun 'almondctl --help' for usage.\n", "status"),
 	Entry("version", ctl.ExitOK, "almondctl ", "", "version"),
 	Entry("version as JSON", ctl.ExitOK, `"go": "go`, "", "version", "--output", "json"),
 	Entry("shell completion", ctl.ExitOK, "bash completion", "", "completion", "bash"),
--- a/pkg/cli/ctl/submit.go
+++ b/pkg/cli/ctl/submit.go
@@ -61,7 +61,10 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel, api := t.call(command)
+	ctx, cancel, api, err := t.call(command)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	submission.BasedOn = flags.basedOn
 	if !hasRevision {
--- a/pkg/cli/router/root.go
+++ b/pkg/cli/router/root.go
@@ -12,6 +12,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(devCommand(), hostCommand(), targetCommand())
+	root.AddCommand(devCommand(), hostCommand(), targetCommand(), trialCertsCommand())
 	return root
 }
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -113,7 +113,9 @@
 				DataCentre:   dataCentre.GetName(),
 				Region:       dataCentre.GetRegion(),
 				LogDecisions: options.LogDecisions,
-				Listen:       loopbackAny, Data: loopbackAny, Rpc: loopbackAny, Admin: loopbackAny,
+				// All hosts share this process and listen on loopback.
+				Insecure: true,
+				Listen:   loopbackAny, Data: loopbackAny, Rpc: loopbackAny, Admin: loopbackAny,
 			}
 			if len(plans) == 0 {
 				settings.Listen, settings.Admin = cmp.Or(options.Listen, loopbackAny), cmp.Or(options.Admin, loopbackAny)
--- a/pkg/host/admin.go
+++ b/pkg/host/admin.go
@@ -13,12 +13,16 @@
 	"almondrock.example/almondrock/pkg/control"
 	"almondrock.example/almondrock/pkg/keyspace"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/settings"
 	"almondrock.example/almondrock/pkg/target"
 )
 
 // adminHandler serves the administration API.
 func (h *Host) adminHandler() http.Handler {
-	return admin.NewHandler(backend{h}, h.metrics.Handler)
+	return admin.NewHandler(backend{h}, h.metrics.Handler, admin.Access{
+		Identified: h.tls != nil,
+		Submitters: settings.List(h.settings.GetSubmitters()),
+	})
 }
 
 // backend implements admin.Backend.
--- a/pkg/host/groupservice.go
+++ b/pkg/host/groupservice.go
@@ -13,36 +13,55 @@
 	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/tlsconfig"
 )
 
 // register adds the handlers of calls between hosts.
 func (h *Host) register(server *rpc.Server) {
 	rpc.Register(server, methodStep, h.handleStep)
-	rpc.Register(server, methodRenew, h.handleRenew)
-	rpc.Register(server, methodPropose, h.handlePropose)
-	rpc.Register(server, methodAnnounce, h.handleAnnounce)
+	rpc.Register(server, methodRenew, claimed(h, func(r *schemav1.RenewRequest) tlsconfig.Identity {
+		return tlsconfig.Identity{DataCentre: h.settings.GetDataCentre(), Name: r.GetHost()}
+	}, h.handleRenew))
+	rpc.Register(server, methodPropose, claimed(h, ofOwnDataCentre[*schemav1.ProposeRequest](h), h.handlePropose))
+	rpc.Register(server, methodAnnounce, claimed(h, ofOwnDataCentre[*schemav1.AnnounceRequest](h), h.handleAnnounce))
 	rpc.Register(server, methodSeal, h.handleSeal)
 	rpc.Register(server, methodExplain, h.handleExplain)
 	rpc.Register(server, methodStatus, h.handleStatus)
 	if h.control == nil {
 		return
 	}
-	rpc.Register(server, methodBootstrap, h.control.bootstrap)
-	rpc.Register(server, methodAddMember, h.control.addMember)
-	rpc.Register(server, methodJoin, func(ctx context.Context, request *schemav1.JoinRequest) (*schemav1.JoinResponse, error) {
+	h.registerControl(server)
+}
+
+// registerControl adds the handlers of calls to the control group. A member whose replica has not started answers like
+// one that does not know the leader.
+func (h *Host) registerControl(server *rpc.Server) {
+	rpc.Register(server, methodBootstrap, claimed(h, func(r *schemav1.BootstrapRequest) tlsconfig.Identity {
+		return tlsconfig.Identity{Name: r.GetName()}
+	}, h.control.bootstrap))
+	rpc.Register(server, methodAddMember, claimed(h, func(r *schemav1.AddMemberRequest) tlsconfig.Identity {
+		return tlsconfig.Identity{Name: r.GetName()}
+	}, h.control.addMember))
+	join := func(ctx context.Context, request *schemav1.JoinRequest) (*schemav1.JoinResponse, error) {
 		_, service := h.control.parts()
 		if service == nil {
 			return &schemav1.JoinResponse{}, nil
 		}
 		return service.Join(ctx, request)
-	})
-	rpc.Register(server, methodPoll, func(ctx context.Context, request *schemav1.PollRequest) (*schemav1.PollResponse, error) {
+	}
+	rpc.Register(server, methodJoin, claimed(h, func(r *schemav1.JoinRequest) tlsconfig.Identity {
+		return tlsconfig.Identity{DataCentre: r.GetHost().GetDataCentre(), Name: r.GetHost().GetName()}
+	}, join))
+	poll := func(ctx context.Context, request *schemav1.PollRequest) (*schemav1.PollResponse, error) {
 		_, service := h.control.parts()
 		if service == nil {
 			return &schemav1.PollResponse{}, nil
 		}
 		return service.Poll(ctx, request)
-	})
+	}
+	rpc.Register(server, methodPoll, claimed(h, func(r *schemav1.PollRequest) tlsconfig.Identity {
+		return tlsconfig.Identity{DataCentre: r.GetDataCentre(), Name: r.GetHost()}
+	}, poll))
 	rpc.Register(server, methodSubmit, func(ctx context.Context, request *schemav1.SubmitRequest) (*schemav1.SubmitResponse, error) {
 		_, service := h.control.parts()
 		if service == nil {
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -20,6 +20,7 @@
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 	"almondrock.example/almondrock/pkg/settings"
 	"almondrock.example/almondrock/pkg/target"
+	"almondrock.example/almondrock/pkg/tlsconfig"
 )
 
 // Intervals of the loops.
@@ -46,6 +47,8 @@
 	started   int64
 	clock     lease.Clock
 
+	// tls is nil in plain text.
+	tls       *tlsconfig.Source
 	client    rpc.Client
 	transport *raftTransport
 	lease     *lease.Holder
@@ -79,6 +82,9 @@
 	h.decisions = decisionlog.New(h.settings.GetName(), h.settings.GetLogDecisions())
 	h.seeds = settings.Members(h.settings.GetSeeds())
 	var err error
+	if h.tls, err = openTLS(h.settings); err != nil {
+		return nil, err
+	}
 	if err := h.openIdentity(); err != nil {
 		return nil, err
 	}
@@ -97,7 +103,7 @@
 	h.metrics = metrics.New(h.settings.GetName(), h.settings.GetDataCentre())
 	h.link = h.newLink()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.client = rpc.NewClient(rpc.ClientOptions{})
+	h.client = rpc.NewClient(rpc.ClientOptions{TLS: h.clientTLS()})
 	h.transport = newRaftTransport(h.ctx, h.client, &h.tasks)
 	return h, nil
 }
@@ -132,7 +138,7 @@
 // Start begins to serve and to join the deployment. It does not wait until the host is ready.
 func (h *Host) Start() {
 	h.manager = h.newManager()
-	h.server = rpc.NewServer(rpc.ServerOptions{})
+	h.server = rpc.NewServer(rpc.ServerOptions{TLS: h.serverTLS()})
 	h.register(h.server)
 	h.tasks.Go(func() { _ = h.server.Serve(h.listeners.RPC) })
 	if h.control != nil {
@@ -218,6 +224,6 @@
 	}))
 	callers.Handle("/", proxy.NewIngress(options))
 	h.serve(proxy.NewServer(callers), h.listeners.Callers)
-	h.serve(proxy.NewServer(proxy.NewForwarded(options)), h.listeners.Data)
-	h.serve(&http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: callTimeout}, h.listeners.Admin)
+	h.serve(proxy.NewServer(proxy.NewForwarded(options)), secure(h.listeners.Data, h.serverTLS()))
+	h.serve(&http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: callTimeout}, secure(h.listeners.Admin, h.adminTLS()))
 }
--- a/pkg/host/proxy.go
+++ b/pkg/host/proxy.go
@@ -13,6 +13,7 @@
 func (h *Host) proxyOptions() proxy.Options {
 	return proxy.Options{
 		Directory: directory{h},
+		Peers:     proxy.NewPeers(h.clientTLS()),
 		Targets:   h.manager,
 		Records:   records{host: h, attempts: &sync.Map{}},
 		Retries:   retries{retry.NewBudget(h.clock)},
--- a/pkg/proxy/options.go
+++ b/pkg/proxy/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -143,7 +144,7 @@
 		o.Choose = chooseAny
 	}
 	if o.Peers == nil {
-		o.Peers = NewPeers()
+		o.Peers = NewPeers(nil)
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
@@ -178,8 +179,11 @@
 // maxIdlePeers is the number of idle connections kept to each other host.
 const maxIdlePeers = 256
 
-// NewPeers returns a pool for connections to other hosts. Ingress and forwarded handlers may share it.
-func NewPeers() *target.Pool { return target.NewPool(target.PoolOptions{MaxIdle: maxIdlePeers}) }
+// NewPeers returns a pool for connections to other hosts, in plain text when config is nil. Ingress and forwarded
+// handlers may share it.
+func NewPeers(config *tls.Config) *target.Pool {
+	return target.NewPool(target.PoolOptions{MaxIdle: maxIdlePeers, TLS: config})
+}
 
 // NewServer returns a server with the time-outs and limits that callers and hosts get.
 func NewServer(handler http.Handler) *http.Server {
--- a/pkg/settings/formats.go
+++ b/pkg/settings/formats.go
@@ -20,6 +20,7 @@
 	formatMembers     = "members"
 	formatDuration    = "duration"
 	formatName        = "name"
+	formatNames       = "names"
 	formatDirectory   = "directory"
 	formatFile        = "file"
 	formatFiles       = "files"
@@ -68,6 +69,8 @@
 		return checkDuration(value)
 	case formatName:
 		return checkName(value)
+	case formatNames:
+		return checkEach(value, checkName)
 	case formatDirectory:
 		return checkDirectory(value)
 	case formatFile:
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -32,6 +33,8 @@
 	MaxConnections int
 	// MaxIdle limits idle connections per address.
 	MaxIdle int
+	// TLS, when set, makes the connections speak TLS.
+	TLS *tls.Config
 }
 
 // Pool is a pool of HTTP/1.1 connections that knows of every request whether a byte of it was written. It is safe for
@@ -39,6 +42,7 @@
 type Pool struct {
 	transport *http.Transport
 	dialer    net.Dialer
+	tls       *tls.Config
 	open      atomic.Int64
 
 	mu     sync.Mutex
@@ -53,7 +57,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(options PoolOptions) *Pool {
-	p := &Pool{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}}
+	p := &Pool{tls: options.TLS, dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}}
 	p.transport = &http.Transport{
 		DialContext:            p.dial,
 		MaxConnsPerHost:        options.MaxConnections,
@@ -77,10 +81,28 @@
 	if err != nil {
 		return nil, err
 	}
+	if conn, err = p.secure(ctx, conn); err != nil {
+		return nil, err
+	}
 	p.open.Add(1)
 	return &guardedConn{Conn: conn, closed: func() { p.open.Add(-1) }}, nil
 }
 
+// secure starts TLS below the guarded connection, so that the guard sees the bytes of requests and not of handshakes.
+func (p *Pool) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if p.tls == nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	secured := tls.Client(conn, p.tls)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 // Warm opens count connections to address ahead of the first requests.
 func (p *Pool) Warm(ctx context.Context, address string, count int) {
 	for range count {
--- /dev/null
+++ b/pkg/tlsconfig/open.go
@@ -0,0 +1,32 @@
+package tlsconfig
+
+// ModeError reports settings that choose neither TLS nor plain text, both, or TLS in part.
+type ModeError struct {
+	Reason string
+}
+
+func (e *ModeError) Error() string {
+	return e.Reason + "; set --tls-certificate, --tls-key and --tls-authorities, or --insecure for plain text"
+}
+
+// Open returns a source of the files, or nil when insecure is set. Plain text has to be chosen explicitly, so that a
+// forgotten setting does not turn TLS off. Errors: *ModeError and those of NewSource.
+func Open(files Files, insecure bool) (*Source, error) {
+	given := 0
+	for _, name := range []string{files.Certificate, files.Key, files.Authorities} {
+		if name != "" {
+			given++
+		}
+	}
+	switch {
+	case insecure && given > 0:
+		return nil, wrap(&ModeError{Reason: "both TLS files and --insecure are set"})
+	case insecure:
+		return nil, nil //nolint:nilnil // no source means plain text
+	case given == 0:
+		return nil, wrap(&ModeError{Reason: "neither TLS files nor --insecure are set"})
+	case given < 3:
+		return nil, wrap(&ModeError{Reason: "only a part of the TLS files is set"})
+	}
+	return NewSource(Options{Files: files})
+}
--- a/pkg/tlsconfig/source.go
+++ b/pkg/tlsconfig/source.go
@@ -93,6 +93,20 @@
 	}
 }
 
+// ServerOptional is Server, but clients may present no certificate. PeerIdentity fails for them, so the handler decides
+// what they may do.
+func (s *Source) ServerOptional(accept Accept) *tls.Config {
+	config := s.Server(accept)
+	config.ClientAuth = tls.RequestClientCert
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		if len(state.PeerCertificates) == 0 {
+			return nil
+		}
+		return s.verify(state.PeerCertificates, x509.ExtKeyUsageClientAuth, accept)
+	}
+	return config
+}
+
 // Client returns a configuration that presents the certificate and accepts the given identities as servers.
 func (s *Source) Client(accept Accept) *tls.Config {
 	return &tls.Config{
