--- a/pkg/control/driver.go
+++ b/pkg/control/driver.go
@@ -52,7 +52,14 @@
 	missing     map[string]time.Duration
 	lostSince   map[string]time.Duration
 	// offered is when a service first had capacity anywhere.
-	offered map[string]time.Duration
+	offered     map[string]time.Duration
+	generations map[string]generationSeen
+}
+
+// generationSeen tells since when this leader has known the present generation of a group.
+type generationSeen struct {
+	generation uint64
+	since      time.Duration
 }
 
 // NewDriver returns the driver of a host that became leader at now.
@@ -66,6 +73,7 @@
 		missing:     map[string]time.Duration{},
 		lostSince:   map[string]time.Duration{},
 		offered:     map[string]time.Duration{},
+		generations: map[string]generationSeen{},
 	}
 }
 
