--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -105,7 +105,7 @@
 	h.metrics = metrics.New(h.settings.GetName(), h.settings.GetDataCentre())
 	h.link = h.newLink()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.client = rpc.NewClient(rpc.ClientOptions{TLS: h.clientTLS()})
+	h.client = rpc.NewClient(rpc.ClientOptions{TLS: h.clientTLS(), Dial: options.Faults.dial()})
 	h.transport = newRaftTransport(h.ctx, h.client, &h.tasks)
 	return h, nil
 }
@@ -194,6 +194,7 @@
 		Released: h.released,
 		Detached: h.renewSoon,
 		Scope:    h.metrics.Scope,
+		Dial:     h.options.Faults.dial(),
 	})
 }
 
--- a/pkg/host/loops.go
+++ b/pkg/host/loops.go
@@ -12,6 +12,7 @@
 // leaderLoop runs the decisions of the group's leader.
 func (h *Host) leaderLoop(ctx context.Context) {
 	for pause(ctx, leaderStep) {
+		h.options.Faults.wait(ctx)
 		if g := h.group.Load(); g != nil {
 			stepContext, cancel := context.WithTimeout(ctx, callTimeout)
 			g.step(stepContext)
@@ -31,6 +32,7 @@
 		case <-ticker.C:
 		case <-h.renewNow:
 		}
+		h.options.Faults.wait(ctx)
 		h.renew(ctx)
 	}
 }
@@ -92,6 +94,7 @@
 // syncLoop brings the attached targets in line with the table.
 func (h *Host) syncLoop(ctx context.Context) {
 	for {
+		h.options.Faults.wait(ctx)
 		g := h.group.Load()
 		if g == nil {
 			if !pause(ctx, lease.RenewInterval) {
--- a/pkg/proxy/options.go
+++ b/pkg/proxy/options.go
@@ -144,7 +144,7 @@
 		o.Choose = chooseAny
 	}
 	if o.Peers == nil {
-		o.Peers = NewPeers(nil)
+		o.Peers = NewPeers(nil, nil)
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
@@ -180,9 +180,9 @@
 const maxIdlePeers = 256
 
 // NewPeers returns a pool for connections to other hosts, in plain text when config is nil. Ingress and forwarded
-// handlers may share it.
-func NewPeers(config *tls.Config) *target.Pool {
-	return target.NewPool(target.PoolOptions{MaxIdle: maxIdlePeers, TLS: config})
+// handlers may share it. dial is nil outside tests.
+func NewPeers(config *tls.Config, dial target.Dial) *target.Pool {
+	return target.NewPool(target.PoolOptions{MaxIdle: maxIdlePeers, TLS: config, Dial: dial})
 }
 
 // NewServer returns a server with the time-outs and limits that callers and hosts get.
--- a/pkg/target/manager.go
+++ b/pkg/target/manager.go
@@ -29,6 +29,8 @@
 	Detached func()
 	// Scope takes the metrics; none when nil.
 	Scope tally.Scope
+	// Dial opens connections to targets; a net.Dialer when nil.
+	Dial Dial
 }
 
 // Manager holds the targets attached to this host. It is safe for concurrent use.
@@ -120,7 +122,7 @@
 	}
 	announcement := record.GetAnnouncement()
 	a = &Attached{
-		manager: m, gate: m.options.NewGate(record), record: record, pool: newTargetPool(announcement),
+		manager: m, gate: m.options.NewGate(record), record: record, pool: newTargetPool(announcement, m.options.Dial),
 		units: map[unitID]*unit{}, flights: m.flightsOf(name),
 	}
 	now := m.options.Clock()
@@ -162,12 +164,13 @@
 	return max(1, pool), warm
 }
 
-func newTargetPool(announcement *schemav1.Announcement) *Pool {
+func newTargetPool(announcement *schemav1.Announcement, dial Dial) *Pool {
 	limit, _ := connectionPlan(announcement)
 	return NewPool(PoolOptions{
 		MaxConnections: limit,
 		// One idle connection more than slots carries grants.
 		MaxIdle: int(announcement.GetSlots()) + 1,
+		Dial:    dial,
 	})
 }
 
@@ -188,7 +191,7 @@
 	if old.GetAddress() != next.GetAddress() || old.GetMaxConnections() != next.GetMaxConnections() ||
 		old.GetSlots() != next.GetSlots() {
 		a.pool.Close()
-		a.pool = newTargetPool(next)
+		a.pool = newTargetPool(next, a.manager.options.Dial)
 	}
 	if old.GetBootId() != next.GetBootId() || old.GetSlots() != next.GetSlots() {
 		a.gate.Boot(next.GetBootId(), next.GetSlots())
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -35,13 +35,26 @@
 	MaxIdle int
 	// TLS, when set, makes the connections speak TLS.
 	TLS *tls.Config
+	// Dial opens connections; a net.Dialer when nil.
+	Dial Dial
+}
+
+// Dial opens a connection. Tests replace it to inject network faults.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// orDefault returns a dialer for the local network when d is nil.
+func (d Dial) orDefault() Dial {
+	if d != nil {
+		return d
+	}
+	return (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext
 }
 
 // Pool is a pool of HTTP/1.1 connections that knows of every request whether a byte of it was written. It is safe for
 // concurrent use.
 type Pool struct {
 	transport *http.Transport
-	dialer    net.Dialer
+	connect   Dial
 	tls       *tls.Config
 	open      atomic.Int64
 
@@ -57,7 +70,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(options PoolOptions) *Pool {
-	p := &Pool{tls: options.TLS, dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}}
+	p := &Pool{tls: options.TLS, connect: options.Dial.orDefault()}
 	p.transport = &http.Transport{
 		DialContext:            p.dial,
 		MaxConnsPerHost:        options.MaxConnections,
@@ -77,7 +90,7 @@
 	if conn := p.takeSpare(address); conn != nil {
 		return conn, nil
 	}
-	conn, err := p.dialer.DialContext(ctx, network, address)
+	conn, err := p.connect(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -106,7 +119,7 @@
 // Warm opens count connections to address ahead of the first requests.
 func (p *Pool) Warm(ctx context.Context, address string, count int) {
 	for range count {
-		conn, err := p.dialer.DialContext(ctx, "tcp", address)
+		conn, err := p.connect(ctx, "tcp", address)
 		if err != nil {
 			return
 		}
