Send fewer heartbeats to learners that have the whole log

Cause: a data centre has up to about a hundred hosts, all but five of them learners. The leader sent each a heartbeat every 50 ms, although learners count neither for the lease nor for the quorum; control traffic may take 4 KB/s per node.

Change: a learner with the whole log gets a heartbeat every 500 ms. A learner that lacks entries gets them every 50 ms as before, so that catching up takes as long as before. A promotion triggers a round at once, because the new voter counts for the lease. The checks of activity allow for the longer interval of learners.

--- a/pkg/raft/change.go
+++ b/pkg/raft/change.go
@@ -34,6 +34,9 @@
 	switch change.GetKind() {
 	case schemav1.MembershipChange_KIND_ADD_LEARNER:
 		n.trackMember(id)
+	case schemav1.MembershipChange_KIND_PROMOTE:
+		// The new voter counts for the lease from now on, and its last heartbeat may be old.
+		n.heartbeatSoon = true
 	case schemav1.MembershipChange_KIND_REMOVE:
 		if id != n.config.ID {
 			delete(n.progress, id)
@@ -71,7 +74,7 @@
 
 func (n *Node) caughtUp(id uint64) bool {
 	p := n.progress[id]
-	return p.caughtUp && p.state == replicating && n.now-p.activeAt <= n.config.ElectionMinTicks
+	return p.caughtUp && p.state == replicating && n.now-p.activeAt <= n.activityWindow(id, n.config.ElectionMinTicks)
 }
 
 // transfer is a leadership transfer in progress.
--- a/pkg/raft/config.go
+++ b/pkg/raft/config.go
@@ -11,6 +11,8 @@
 	DefaultElectionMinTicks = 20
 	DefaultElectionMaxTicks = 40
 	DefaultHeartbeatTicks   = 5
+	// DefaultLearnerHeartbeatTicks is 500 ms with a tick of 10 ms.
+	DefaultLearnerHeartbeatTicks = 50
 )
 
 // Default sizes.
@@ -30,6 +32,9 @@
 	// ElectionMaxTicks is also how long a leader stays in office without hearing from a quorum.
 	ElectionMaxTicks uint64
 	HeartbeatTicks   uint64
+	// LearnerHeartbeatTicks is the longer interval for learners that have the whole log: they count neither for the lease nor for the quorum,
+	// and a data centre may have a hundred of them.
+	LearnerHeartbeatTicks uint64
 	// LeaseTicks is the length of the leader lease, counted from the tick in which the heartbeat was made. It must be
 	// below ElectionMinTicks by the clock-rate error bound. The default is 99 % of ElectionMinTicks, rounded down.
 	LeaseTicks uint64
@@ -94,6 +99,7 @@
 	setDefault(&c.ElectionMinTicks, DefaultElectionMinTicks)
 	setDefault(&c.ElectionMaxTicks, DefaultElectionMaxTicks)
 	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
+	setDefault(&c.LearnerHeartbeatTicks, DefaultLearnerHeartbeatTicks)
 	setDefault(&c.LeaseTicks, c.ElectionMinTicks*leaseNumerator/leaseDenominator)
 	setDefault(&c.MaxAppendBytes, DefaultMaxAppendBytes)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
--- a/pkg/raft/heartbeat.go
+++ b/pkg/raft/heartbeat.go
@@ -28,10 +28,14 @@
 	for n.rounds[0].madeAt+n.config.ElectionMaxTicks < n.now {
 		n.rounds = n.rounds[1:]
 	}
+	learners := n.now >= n.learnersDue
+	if learners {
+		n.learnersDue = n.now + n.config.LearnerHeartbeatTicks
+	}
 	for _, member := range n.membership().GetMembers() {
 		id := member.GetId()
 		p := n.progress[id]
-		if id == n.config.ID {
+		if id == n.config.ID || (member.GetLearner() && !learners && p.isComplete(n.log.last())) {
 			continue
 		}
 		n.send(&schemav1.RaftMessage{
@@ -51,8 +55,8 @@
 		n.retrySnapshot(m.GetFrom(), p, n.config.ElectionMaxTicks)
 		return
 	}
-	if p.match >= n.log.last() {
-		p.trackRound(n.log.last(), n.now, n.config.ElectionMinTicks)
+	if p.isComplete(n.log.last()) {
+		p.caughtUp, p.roundTarget, p.roundStart = true, n.log.last(), n.now
 		return
 	}
 	// The follower answers but lacks entries: an append may be lost. A further one is rejected if so.
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -55,6 +55,7 @@
 	progress     map[uint64]*progress
 	termStart    uint64
 	heartbeatDue uint64
+	learnersDue  uint64
 	// round numbers heartbeat broadcasts; rounds has the tick of each recent one.
 	round         uint64
 	rounds        []heartbeatRound
@@ -150,10 +151,18 @@
 			return true
 		}
 		p := n.progress[id]
-		return p != nil && n.now-p.activeAt <= ticks
+		return p != nil && n.now-p.activeAt <= n.activityWindow(id, ticks)
 	})
 }
 
+// activityWindow adds the longer heartbeat interval of a learner to ticks.
+func (n *Node) activityWindow(id, ticks uint64) uint64 {
+	if isVoter(n.membership(), id) {
+		return ticks
+	}
+	return ticks + n.config.LearnerHeartbeatTicks
+}
+
 func (n *Node) becomeFollower(term, leader uint64) {
 	if n.role == Leader {
 		n.failReads()
--- a/pkg/raft/progress.go
+++ b/pkg/raft/progress.go
@@ -77,6 +77,9 @@
 	return news
 }
 
+// isComplete reports whether the member has the whole log.
+func (p *progress) isComplete(last uint64) bool { return p.state == replicating && p.match >= last }
+
 // trackRound updates caughtUp after an acknowledgement at tick now.
 func (p *progress) trackRound(last, now, limit uint64) {
 	if p.match < p.roundTarget {
--- a/pkg/replication/bench_test.go
+++ b/pkg/replication/bench_test.go
@@ -72,6 +72,34 @@
 	}
 }
 
+// BenchmarkIdleLearners counts what the leader of a large data centre sends while idle: 5 voters and 90 learners.
+func BenchmarkIdleLearners(b *testing.B) {
+	const voters, learners, seconds = 5, 90, 20
+	var s *sim
+	for b.Loop() {
+		s = newSim(1, voters, faults{}, Options{})
+		for id := uint64(voters + 1); id <= voters+learners; id++ {
+			s.until(time.Second, func() bool { return s.leader() != nil && s.leader().holdsLease() })
+			s.add(id, nil)
+			s.leader().m.change(&schemav1.MembershipChange{
+				Kind: add, Member: &schemav1.Member{Id: id, Address: strconv.FormatUint(id, 10)},
+			}, func([]byte, error) {})
+			s.leader().finish()
+			s.run(100 * time.Millisecond)
+		}
+		s.run(2 * time.Second)
+		if members := len(s.leader().m.node.Status().Members); members != voters+learners {
+			b.Fatalf("%d members", members)
+		}
+		s.messages, s.bytes = 0, 0
+		clear(s.bytesBy)
+		s.run(seconds * time.Second)
+	}
+	b.ReportMetric(float64(s.messages)/seconds, "messages/s")
+	b.ReportMetric(float64(s.bytes)/seconds, "bytes/s")
+	b.ReportMetric(float64(s.bytesBy[s.leader().id])/seconds, "leader-bytes/s")
+}
+
 // directGroup delivers at once and in order, to measure the members without the simulation.
 type directGroup struct {
 	members map[string]*member
