--- a/pkg/ownership/driver.go
+++ b/pkg/ownership/driver.go
@@ -72,7 +72,8 @@
 	}
 }
 
-// Renew renews the lease of a host and keeps its reports. Now must be read after the request arrived. The lease is
+// Renew renews the lease of a host and keeps its reports. Now must be read after the request arrived. The host must read
+// its table's Applied before it sends the request, and count a stopped or released attachment as gone for good. The lease is
 // refused while another process may lead, to a process that is not the host of the control view, and to a host whose
 // table lacks the loss of one of its attachments.
 func (d *Driver) Renew(now time.Duration, request *schemav1.RenewRequest) *schemav1.RenewResponse {
@@ -103,8 +104,10 @@
 	return false
 }
 
-// Step returns the commands that the leader should propose now, in this order. A command that is lost or late does no
-// harm: it is guarded, and a later Step repeats it. Step returns nothing while the leader lease is not held.
+// Step returns the commands that the leader should propose now, in this order. Call it every 10 ms and after a renewal
+// that reports a loss. The commands hold for this term only: propose them on the local replica, never through another
+// leader, which may have granted leases that this one knows to be over. A command that is lost does no harm; a later Step
+// repeats it. Step returns nothing while the leader lease is not held.
 func (d *Driver) Step(now time.Duration) []*schemav1.GroupCommand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
