--- a/pkg/ownership/simhost_test.go
+++ b/pkg/ownership/simhost_test.go
@@ -194,12 +194,12 @@
 		}
 		report := &schemav1.TargetReport{Target: t.name, BootId: t.boot, StoppedAttachment: h.stopped[t.name]}
 		record, _ := h.table.Target(t.name)
-		report.Unreachable = h.stopped[t.name] == attachment && record.AttachedHost == h.name
+		report.Unreachable = h.stopped[t.name] == attachment && record.GetAttachedHost() == h.name
 		if report.Unreachable {
 			report.BootId = record.Announcement.BootId
 		}
 		idle := !slices.ContainsFunc(h.busy, func(r request) bool { return r.target == t.name })
-		if idle && (h.stopped[t.name] == attachment || record.AttachedHost != h.name || record.AttachedIdentity != h.identity) {
+		if idle && (h.stopped[t.name] == attachment || record.GetAttachedHost() != h.name || record.GetAttachedIdentity() != h.identity) {
 			report.ReleasedAttachment = attachment
 		}
 		reports = append(reports, report)
