Try another target of a shared service after a refusal; back off while waiting

Cause: a shared service's request was refused although another target was ready; requests that waited for an owner asked other hosts every 10 to 50 ms for as long as they waited.

Change: a not-run refusal by a target of a shared service is sent again within the retry budget, to a target chosen anew. Intervals of waiting double up to 100 ms. The stand-in gives its slot back before the last byte. Tests of the cold fault.

Before: the shared request ended with 'overloaded'.

Conclusion: waiting is cheap at the other hosts; hedging of shared requests is not done yet.

--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -55,6 +55,8 @@
 	// retries counts further attempts after the first, of all kinds that the budget pays for.
 	retries int
 	sends   int
+	// pauses counts the waits for an owner.
+	pauses int
 	// recorded is set while the request has an idempotency record that says begun.
 	recorded bool
 	// cancels end the attempts at other hosts when the request is over.
--- a/pkg/proxy/path_test.go
+++ b/pkg/proxy/path_test.go
@@ -98,8 +98,9 @@
 		w := newWorld()
 		w.resolution.Service.Kind = schemav1.ServiceKind_SERVICE_KIND_SHARED
 		noFence := &schemav1.TargetCapabilities{}
+		servers := map[string]*standin.Server{}
 		for _, name := range []string{"t1", "t2", "t3", "t4"} {
-			w.addTarget(name, standin.Options{Capabilities: noFence})
+			servers[name] = w.addTarget(name, standin.Options{Capabilities: noFence})
 		}
 		w.targets["t1"].AttachedHost, w.targets["t2"].AttachedHost = "h0", "h1"
 		w.targets["t3"].AttachedHost, w.targets["t3"].Lost = "h1", true
@@ -120,5 +121,9 @@
 			names = append(names, ask("GET", h.address, "/desk/a", "").answer().Target)
 		}
 		Expect(names).To(Equal([]string{"t2", "t1", "t2", "t1"}))
+		// What one target refuses before running it, another may run.
+		servers["t2"].SetFaults(func(f *standin.Faults) { f.Refuse = true })
+		Expect(ask("POST", h.address, "/desk/a", "b").answer().Target).To(Equal("t1"))
+		Expect(servers["t2"].Runs()).To(HaveLen(2))
 	})
 })
--- a/pkg/proxy/serve.go
+++ b/pkg/proxy/serve.go
@@ -15,6 +15,8 @@
 	// pollInterval and changeInterval are how often a waiting request looks again, without and with notice of changes.
 	pollInterval   = 10 * time.Millisecond
 	changeInterval = 50 * time.Millisecond
+	// maxPollInterval ends the doubling of the intervals, so that requests that wait long cost little.
+	maxPollInterval = 100 * time.Millisecond
 	// farPollInterval is used when the owner is in another data centre, whose table this host does not have.
 	farPollInterval = 50 * time.Millisecond
 	// maxWaiting bounds the requests that wait at one host.
@@ -42,7 +44,7 @@
 			return err
 		}
 		refusal := apierr.From(err)
-		if !x.waitForOwner(refusal) && !x.retryLost(refusal) {
+		if !x.waitForOwner(refusal) && !x.tryElsewhere(refusal) {
 			return err
 		}
 		waitedFor = err
@@ -102,8 +104,9 @@
 	case x.options.Changed != nil:
 		changed, interval = x.options.Changed(), changeInterval
 	}
-	timer := time.NewTimer(interval)
+	timer := time.NewTimer(min(interval<<min(x.pauses, 4), maxPollInterval))
 	defer timer.Stop()
+	x.pauses++
 	select {
 	case <-timer.C:
 	case <-changed:
@@ -113,9 +116,11 @@
 	return true
 }
 
-// retryLost tries an idempotent request again whose answer was lost between hosts.
-func (x *exchange) retryLost(refusal *apierr.Refusal) bool {
-	return x.peerLost && x.mayRetry(refusal)
+// tryElsewhere sends the request again within the budget: an idempotent one whose answer was lost between hosts, or one to
+// a shared service that its first target refused before running it.
+func (x *exchange) tryElsewhere(refusal *apierr.Refusal) bool {
+	shed := x.shared() && x.chosen == "" && refusal.Ran == apierr.NotRun && refusal.Code == apierr.Overloaded
+	return (x.peerLost || shed) && x.mayRetry(refusal)
 }
 
 // mayRetry asks for a further attempt and waits the pause before it.
--- a/pkg/standin/standin_test.go
+++ b/pkg/standin/standin_test.go
@@ -128,6 +128,42 @@
 		Expect(server.Runs()).To(HaveLen(1))
 	})
 
+	It("is slow while cold, fails work beside other work, and warms up", func() {
+		server := start(standin.Options{Capabilities: noFence, Faults: standin.Faults{ColdRequests: 2, ServiceTime: 2 * time.Millisecond}})
+		Expect(post(server).StatusCode).To(Equal(200))
+		Expect(server.Runs()[0].Took).To(BeNumerically(">=", 20*time.Millisecond))
+		body, finish := io.Pipe()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if response, err := http.Post("http://"+server.Address()+"/book", "text/plain", body); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+		Eventually(func() int { return server.Counts().Requests }).Should(Equal(2))
+		Expect(post(server).StatusCode).To(Equal(500))
+		Expect(server.Counts().ColdFailures).To(Equal(1))
+		// Two requests have run, so the target is warm.
+		Expect(post(server).StatusCode).To(Equal(200))
+		Expect(finish.Close()).To(Succeed())
+		Eventually(done).Should(BeClosed())
+		server.Restart()
+		Expect(post(server).StatusCode).To(Equal(200))
+		Expect(server.Runs()[len(server.Runs())-1].Took).To(BeNumerically(">=", 20*time.Millisecond))
+	})
+
+	It("counts no overload when a sender goes on as soon as it has the whole answer", func() {
+		server := start(standin.Options{Slots: 1, Capabilities: noFence})
+		for range 200 {
+			response, err := http.Get("http://" + server.Address() + standin.FilePrefix + "a?size=65536")
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			_ = response.Body.Close()
+		}
+		Expect(server.Counts().Overloads).To(BeZero())
+	})
+
 	It("cuts an answer so that the reader sees it", func() {
 		server := start(standin.Options{Capabilities: noFence, Faults: standin.Faults{TruncateAfter: 10, TruncateTimes: 1}})
 		_, err := io.ReadAll(post(server).Body)
--- a/pkg/standin/work.go
+++ b/pkg/standin/work.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"almondrock.example/almondrock/pkg/target"
@@ -44,18 +45,21 @@
 	requestID string
 	key       string
 	faults    Faults
+	// release gives the slot back.
+	release func()
 }
 
 func (s *Server) handleWork(w http.ResponseWriter, r *http.Request) {
 	s.waitThawed()
 	running := s.running.Add(1)
-	defer s.running.Add(-1)
+	release := sync.OnceFunc(func() { s.running.Add(-1) })
+	defer release()
 	s.mu.Lock()
 	s.counts.Requests++
 	faults := s.faults
 	s.mu.Unlock()
 	work := &work{
-		request: r, writer: w, faults: faults, requestID: r.Header.Get(target.HeaderRequestID), key: r.Header.Get(target.HeaderKey),
+		request: r, writer: w, faults: faults, release: release, requestID: r.Header.Get(target.HeaderRequestID), key: r.Header.Get(target.HeaderKey),
 	}
 	s.setRequestID(work)
 	if faults.Refuse {
@@ -164,7 +168,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(work.faults.LateAnswer)
-	writer := work.writer
+	var writer http.ResponseWriter = &lastWriter{ResponseWriter: work.writer, release: work.release}
 	if s.cutsThis(work.faults) {
 		writer = &cutWriter{ResponseWriter: writer, left: work.faults.TruncateAfter}
 	}
@@ -241,6 +245,25 @@
 	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(FileContent(r.URL.Path, size)))
 }
 
+// lastWriter gives the slot back before the last byte is written: once the sender has it, the next request may arrive
+// before the handler has returned, and must not count as over the slots.
+type lastWriter struct {
+	http.ResponseWriter
+	release func()
+	written int
+}
+
+func (l *lastWriter) Write(data []byte) (int, error) {
+	l.written += len(data)
+	if length, err := strconv.Atoi(l.Header().Get("Content-Length")); err == nil && l.written >= length {
+		l.release()
+	}
+	return l.ResponseWriter.Write(data)
+}
+
+// Unwrap lets http.ResponseController find the writer.
+func (l *lastWriter) Unwrap() http.ResponseWriter { return l.ResponseWriter }
+
 // cutWriter ends the connection after a number of body bytes.
 type cutWriter struct {
 	http.ResponseWriter
