Hand a request back when two data centres disagree on the owner

Cause: while a shard changes data centre, the views of two data centres differ for up to a poll interval. Each forwarded the request to the other until it was refused with loop (508), although the shard had an owner a moment later.

Change: a host that would send a forwarded request back to the data centre it came from refuses it at once with moving, not-run, so that the sender waits and looks again.

The new test fails without the change.

A cycle over three data centres still ends in loop.

--- a/pkg/proxy/owner_test.go
+++ b/pkg/proxy/owner_test.go
@@ -181,3 +181,22 @@
 		Entry("idempotent without budget", "GET", "X-Plain", 503, 1),
 	)
 })
+
+// While a shard changes data centre, views differ for a moment. A request that is sent back to its sender goes round until
+// it is refused as a loop; the sender must get it back at once, not-run, and look again.
+var _ = It("hands a request back to a data centre with another view", func() {
+	w, h, server := oneHost()
+	w.mu.Lock()
+	w.dataCentre = "seoul-mapo"
+	w.mu.Unlock()
+	headers := []string{"Almondrock-Hops", "1", "Almondrock-Request-Id", "r1", "Almondrock-From", "seoul-mapo"}
+	for _, method := range []string{"GET", "POST"} {
+		refusal := ask(method, h.data, "/desk/a", "", headers...).refusal()
+		Expect(refusal).To(SatisfyAll(HaveField("Code", apierr.Moving), HaveField("Ran", apierr.NotRun)))
+	}
+	Expect(server.Counts().Requests).To(BeZero())
+	w.mu.Lock()
+	w.dataCentre = "seoul-gangnam"
+	w.mu.Unlock()
+	Expect(ask("POST", h.data, "/desk/a", "", headers...).answer().Target).To(Equal("t1"))
+})
--- a/pkg/proxy/place.go
+++ b/pkg/proxy/place.go
@@ -42,6 +42,12 @@
 		return place{}, noOwner(apierr.NoOwner, "the shard is delegated to no data centre")
 	}
 	if dataCentre != directory.Self().DataCentre {
+		if x.forwarded && x.r.Header.Get(headerFrom) == dataCentre {
+			// One of the two data centres has an older view. The sender looks again; sending the request back would make
+			// it go round until it is refused as a loop.
+			x.noWait = true
+			return place{}, noOwner(apierr.Moving, "the data centres do not yet agree on the owner of the shard")
+		}
 		return x.locateElsewhere(dataCentre)
 	}
 	assignment, ok := directory.Assignment(x.resolution.Keyspace, x.shard, x.hash)
