--- a/pkg/control/driver.go
+++ b/pkg/control/driver.go
@@ -56,10 +56,10 @@
 	generations map[string]generationSeen
 }
 
-// generationSeen tells since when this leader has known the present generation of a group.
+// generationSeen is when this leader first saw the present generation of a data centre group.
 type generationSeen struct {
-	generation uint64
-	since      time.Duration
+	number uint64
+	at     time.Duration
 }
 
 // NewDriver returns the driver of a host that became leader at now.
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -51,6 +51,7 @@
 		return nil, err
 	}
 	defer x.watchOwner(p, cancel)()
+	defer x.peers.watch(address)()
 	return x.options.Peers.Send(request, nil)
 }
 
