Drop the host lease with its generation, and refuse records that the group did not take

Cause: reading the contracts of ownership against pkg/host showed three gaps. A lease of an old generation outlived it, so a host could send while the new leader counted from its own start (I1). A record refused because the group no longer knows the process looked like one begun elsewhere. Steps of the leader came every 20 ms; its bounds assume 10 ms.

Change: entering a generation drops the lease, and a grant that arrives late from the old one is ignored; such records are refused not-run; the leader steps every 10 ms; capacity is summed in one place.

--- a/pkg/host/controlclient.go
+++ b/pkg/host/controlclient.go
@@ -149,7 +149,7 @@
 	}
 	request.LeadsGroup = true
 	request.Released = g.table.Released()
-	request.Capacity = g.capacity()
+	request.Capacity = g.table.Capacity()
 	request.LiveHosts = driver.LiveHosts(h.clock())
 	return request
 }
@@ -194,23 +194,16 @@
 		klog.ErrorS(err, "cannot start the data centre group", "generation", assignment.GetGeneration())
 		return
 	}
+	h.mu.Lock()
 	h.group.Store(next)
+	// The lease was granted by a leader of the old generation, which the new one does not count on.
+	h.lease.Drop()
+	h.mu.Unlock()
 	if old != nil {
 		old.replica.Stop()
 	}
 }
 
-// capacity sums the slots of targets that can take work, by service.
-func (g *group) capacity() map[string]uint32 {
-	capacity := map[string]uint32{}
-	for _, record := range g.table.Targets() {
-		if !record.GetLost() && !record.GetAnnouncement().GetDraining() {
-			capacity[record.GetAnnouncement().GetService()] += record.GetAnnouncement().GetSlots()
-		}
-	}
-	return capacity
-}
-
 // pause waits for d and reports false when ctx ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -28,7 +28,7 @@
 	// pollInterval keeps a new revision well within the 5 s in which it must be in force.
 	pollInterval = 250 * time.Millisecond
 	// leaderStep is short against the lease, so that a loss is acted upon as soon as the lease is over.
-	leaderStep = 20 * time.Millisecond
+	leaderStep = 10 * time.Millisecond
 )
 
 // addresses are where other hosts reach this one.
--- a/pkg/host/loops.go
+++ b/pkg/host/loops.go
@@ -65,9 +65,8 @@
 	// The lease counts from before the request, see package lease.
 	asked := h.clock()
 	response, err := h.askRenewal(ctx, status.Leader, status.LeaderAddress, request)
-	granted := err == nil && response.GetGranted()
+	granted := err == nil && response.GetGranted() && h.extendLease(g, asked, response)
 	if granted {
-		h.lease.Extend(asked, time.Duration(response.GetLeaseMs())*time.Millisecond)
 		h.manager.Renew()
 	}
 	result := "refused"
@@ -77,6 +76,17 @@
 	h.metrics.Scope.Tagged(map[string]string{metrics.TagResult: result}).Counter(metrics.LeaseRenewals).Inc(1)
 }
 
+// extendLease takes over a grant of the generation g, unless the host has entered another one in the meantime.
+func (h *Host) extendLease(g *group, asked time.Duration, response *schemav1.RenewResponse) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.group.Load() != g {
+		return false
+	}
+	h.lease.Extend(asked, time.Duration(response.GetLeaseMs())*time.Millisecond)
+	return true
+}
+
 func (h *Host) askRenewal(ctx context.Context, leader uint64, address string, request *schemav1.RenewRequest) (*schemav1.RenewResponse, error) {
 	if leader == h.identity {
 		return h.handleRenew(ctx, request)
--- a/pkg/host/records.go
+++ b/pkg/host/records.go
@@ -37,6 +37,10 @@
 			Message: "the store of idempotency records is full",
 		})
 	}
+	if result.GetRecord() == nil {
+		// The group knows this process no longer, or not yet, as a host; it took no record.
+		return nil, false, retryLater("this host is not a member of its data centre")
+	}
 	if result.GetBegun() {
 		r.attempts.Store(string(record.GetId()), record.GetAttempt())
 	}
