Say when an explanation may be out of date

Cause: explain answers from the table of one host. Seen with two of three hosts of a data centre killed: it named the target and the killed host with 'the target owns the shard and is attached to the host'.

Change: a host without a lease says that this is the last known owner.

Conclusion: the owner shown without a leader is marked as such.

--- a/pkg/host/admin.go
+++ b/pkg/host/admin.go
@@ -175,6 +175,8 @@
 		Reason:       "the target owns the shard and is attached to the host",
 	}
 	switch {
+	case !h.lease.Valid():
+		explanation.Reason = "last known owner: the answering host has no lease, so the assignment may be out of date"
 	case assignment.Moving:
 		explanation.Reason = "the shard is moving: new requests wait until the old owner has stopped"
 	case assignment.Host == "":
--- a/pkg/host/tls_test.go
+++ b/pkg/host/tls_test.go
@@ -121,9 +121,17 @@
 
 // get returns the status and body, or 0 and the error when there is no answer.
 func get(address string, config *tls.Config, method, path, body string) (int, string) {
+	return fetch("https://"+address+path, config, method, body)
+}
+
+func getPlain(address, path string) (int, string) {
+	return fetch("http://"+address+path, nil, "GET", "")
+}
+
+func fetch(link string, config *tls.Config, method, body string) (int, string) {
 	transport := &http.Transport{TLSClientConfig: config}
 	defer transport.CloseIdleConnections()
-	request, err := http.NewRequest(method, "https://"+address+path, strings.NewReader(body))
+	request, err := http.NewRequest(method, link, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	response, err := transport.RoundTrip(request)
 	if err != nil {
