Report imbalance, churn, unavailable time, queues and lost leases as metrics

Change: the leader reports its data centre's shards, shards without owner, imbalance, moves and unavailable time; gates report queue and requests in flight; hosts count lost leases.

Before: imbalance, churn and unavailable time could not be read off. After: 'curl ADMIN/metrics' shows them.

Conclusion: the cost is one pass over the table every 500 ms on the leader.

--- a/pkg/host/gate.go
+++ b/pkg/host/gate.go
@@ -6,8 +6,11 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"almondrock.example/almondrock/pkg/limit"
 	"almondrock.example/almondrock/pkg/link"
+	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/proxy"
 	"almondrock.example/almondrock/pkg/retry"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -29,9 +32,29 @@
 		Slots:    announcement.GetSlots(),
 		MaxQueue: maxQueue,
 		BootID:   announcement.GetBootId(),
+		Observer: h.newGateObserver(announcement.GetTarget()),
 	})}
 }
 
+// gateObserver shows a gate's figures as metrics.
+type gateObserver struct {
+	queued, inFlight tally.Gauge
+}
+
+func (h *Host) newGateObserver(name string) gateObserver {
+	scope := h.metrics.Scope.Tagged(map[string]string{metrics.TagTarget: name})
+	return gateObserver{queued: scope.Gauge(metrics.QueueLength), inFlight: scope.Gauge(metrics.InFlight)}
+}
+
+// Waited implements limit.Observer; the data path reports the wait itself.
+func (gateObserver) Waited(schemav1.RequestClass, time.Duration) {}
+
+// Load implements limit.Observer.
+func (o gateObserver) Load(queued, inFlight int) {
+	o.queued.Update(float64(queued))
+	o.inFlight.Update(float64(inFlight))
+}
+
 // Acquire implements target.Gate.
 func (g gate) Acquire(ctx context.Context, ticket target.Ticket) (target.Permit, error) {
 	permit, err := g.Gate.Acquire(ctx, limit.Ticket(ticket))
--- a/pkg/host/group.go
+++ b/pkg/host/group.go
@@ -23,6 +23,8 @@
 	voterSilence = 10 * time.Second
 	// maxGroupVoters is the number of voters that the leader aims at.
 	maxGroupVoters = 5
+	// measureInterval is the resolution of unavailable time.
+	measureInterval = 500 * time.Millisecond
 	// maxProposals bounds commands of one step that wait for their commit together.
 	maxProposals = 64
 )
@@ -41,6 +43,8 @@
 	mu     sync.Mutex
 	driver *ownership.Driver
 	term   uint64
+	// measures are used by the leader loop only.
+	measures measures
 	// memberSince tells when a change of members was last tried, so that a refused one is not repeated at once.
 	memberSince time.Duration
 }
@@ -95,7 +99,13 @@
 			return
 		}
 	}
-	g.proposeAll(ctx, driver.Step(g.host.clock()))
+	now := g.host.clock()
+	commands := driver.Step(now)
+	g.countMoves(commands)
+	g.proposeAll(ctx, commands)
+	if now-g.measures.reportedAt >= measureInterval {
+		g.measure(now)
+	}
 	g.maintainMembers(ctx, g.replica.Status())
 }
 
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -60,6 +60,8 @@
 	views     viewStore
 	manager   *target.Manager
 	draining  atomic.Bool
+	// leased tells the renewal loop whether the lease was valid after the last renewal.
+	leased bool
 	// renewNow asks for a renewal before the next interval.
 	renewNow chan struct{}
 
--- a/pkg/host/loops.go
+++ b/pkg/host/loops.go
@@ -65,10 +65,15 @@
 	// The lease counts from before the request, see package lease.
 	asked := h.clock()
 	response, err := h.askRenewal(ctx, status.Leader, status.LeaderAddress, request)
+	lost := h.leased && !h.lease.Valid()
 	granted := err == nil && response.GetGranted() && h.extendLease(g, asked, response)
 	if granted {
 		h.manager.Renew()
 	}
+	if lost {
+		h.metrics.Scope.Counter(metrics.LeaseLosses).Inc(1)
+	}
+	h.leased = granted || h.lease.Valid()
 	result := "refused"
 	if granted {
 		result = "granted"
