Give a new generation of a data centre group the time to elect a leader

Cause: the control leader judged a group by polls from before its present generation, so it sealed each generation as soon as its members had entered it. Found by the system test that loses two of three hosts and restarts one: a data centre went through 130 generations and served nothing for over 60 s. Ruled out: registration of targets and host identities after the restart; the status report showed the two live hosts in different generations, both without a leader.

--- a/pkg/control/driver.go
+++ b/pkg/control/driver.go
@@ -49,6 +49,13 @@
 	hosts       map[string]hostReport
 	missing     map[string]time.Duration
 	lostSince   map[string]time.Duration
+	generations map[string]generationSeen
+}
+
+// generationSeen is when this leader first saw the present generation of a data centre group.
+type generationSeen struct {
+	number uint64
+	at     time.Duration
 }
 
 // NewDriver returns the driver of a host that became leader at now.
@@ -61,6 +68,7 @@
 		hosts:       map[string]hostReport{},
 		missing:     map[string]time.Duration{},
 		lostSince:   map[string]time.Duration{},
+		generations: map[string]generationSeen{},
 	}
 }
 
--- a/pkg/control/generation.go
+++ b/pkg/control/generation.go
@@ -27,6 +27,9 @@
 	var groups []*schemav1.GroupAssignment
 	for _, dataCentre := range d.state.DataCentresWithGroups() {
 		group, _ := d.state.Group(dataCentre)
+		if !d.hadTimeToElect(now, group) {
+			continue
+		}
 		report, reported := d.reports[dataCentre]
 		if reported && now-report.at < leaderlessDelay {
 			continue
@@ -39,6 +42,17 @@
 	return groups
 }
 
+// hadTimeToElect reports whether a generation is old enough to have a leader. Without this wait the polls from before
+// it started would end each generation before its members have learned of it. The wait starts at the first call.
+func (d *Driver) hadTimeToElect(now time.Duration, group *schemav1.GroupAssignment) bool {
+	seen, ok := d.generations[group.GetDataCentre()]
+	if !ok || seen.number != group.GetGeneration() {
+		d.generations[group.GetDataCentre()] = generationSeen{number: group.GetGeneration(), at: now}
+		return false
+	}
+	return now-seen.at >= leaderlessDelay
+}
+
 // LiveHosts returns the hosts of a data centre that polled lately under their present identity.
 func (d *Driver) LiveHosts(now time.Duration, dataCentre string) []*schemav1.Host {
 	var live []*schemav1.Host
