--- a/pkg/dev/dev_test.go
+++ b/pkg/dev/dev_test.go
@@ -63,7 +63,7 @@
 
 // Generous bounds: nothing below depends on the speed of the machine.
 const (
-	within = 60 * time.Second
+	within = 30 * time.Second
 	often  = 50 * time.Millisecond
 )
 
@@ -78,14 +78,10 @@
 	down map[string]bool
 }
 
-func submission(id string, basedOn uint64, edit func(string) string, overlays ...string) *schemav1.Submission {
-	base := files
-	if edit != nil {
-		base = edit(base)
-	}
+func submission(id string, basedOn uint64, overlays ...string) *schemav1.Submission {
 	s := &schemav1.Submission{
 		Id: id, Operator: "operator-" + id, BasedOn: basedOn,
-		Base: &schemav1.SourceFile{Name: "base.yaml", Content: []byte(base)},
+		Base: &schemav1.SourceFile{Name: "base.yaml", Content: []byte(files)},
 	}
 	for _, overlay := range overlays {
 		name := strings.Fields(overlay)[1]
@@ -95,15 +91,15 @@
 }
 
 // startSystem starts a deployment in dataDir and waits until every key is served.
-func startSystem(dataDir string) (*system, error) {
-	first := submission("first", 0, nil)
+func startSystem(dataDir string, hosts int) (*system, error) {
+	first := submission("first", 0)
 	configuration, problems := config.CheckSubmission(nil, first)
 	if len(problems) > 0 {
 		return nil, fmt.Errorf("files refused: %v", problems)
 	}
 	s := &system{network: newNetwork(), plans: map[string]host.Options{}, down: map[string]bool{}, started: time.Now().Add(-time.Second)}
 	deployment, err := Start(Options{
-		DataDir: dataDir, First: first, Configuration: configuration, Targets: map[string]int{"desk": 8},
+		HostsPerDataCentre: hosts, DataDir: dataDir, First: first, Configuration: configuration, Targets: map[string]int{"desk": 8},
 		Slots: 4, MaxConnections: 64, Faults: standin.Faults{ServiceTime: 2 * time.Millisecond}, Check: config.CheckSubmission,
 		EditHost: func(options *host.Options) {
 			options.Handover = true
@@ -126,7 +122,7 @@
 }
 
 func newSystem() *system {
-	s, err := startSystem(GinkgoT().TempDir())
+	s, err := startSystem(GinkgoT().TempDir(), defaultHostsPerDataCentre)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() {
 		s.network.setCut(nil)
@@ -149,6 +145,7 @@
 		o := &operation{key: fmt.Sprintf("probe-%d", i), method: http.MethodGet, path: "/probe"}
 		h := hosts[i%len(hosts)]
 		if r := send(client, h.CallerAddress(), o); !r.served() {
+			fmt.Fprintf(GinkgoWriter, "%s %s by %s: %s\n", time.Now().Format(time.TimeOnly), o.key, h.Name(), describe([]reply{r}))
 			return fmt.Errorf("%s by %s: %s", o.key, h.Name(), describe([]reply{r}))
 		}
 	}
@@ -159,7 +156,9 @@
 	GinkgoHelper()
 	client := newClient()
 	defer client.CloseIdleConnections()
-	Eventually(func() error { return s.unserved(client) }, within, often).Should(Succeed())
+	Eventually(func() error { return s.unserved(client) }, within, often).Should(Succeed(), func() string {
+		return protojson.MarshalOptions{Multiline: true}.Format(s.status())
+	})
 }
 
 // live returns the hosts that were not killed or stopped.
@@ -334,4 +333,3 @@
 	}
 	return all
 }
-
--- a/pkg/dev/faults_test.go
+++ b/pkg/dev/faults_test.go
@@ -34,10 +34,14 @@
 	}
 	defer stop()
 	l.awaitServed(100)
+	By("fault")
 	fault(l)
+	By("every key is served again")
 	s.eventuallyServed()
 	l.awaitServed(100)
+	By("callers stop")
 	stop()
+	By("check")
 	if found := check(l.operations, s.runs()); len(found) > 0 {
 		Fail(strings.Join(found[:min(len(found), 5)], "\n"))
 	}
@@ -59,7 +63,7 @@
 		}),
 		Entry("I11: when the control leader is killed", func(s *system, l *load) {
 			s.kill(s.controlLeader())
-			Expect(submit(s.live()[0], submission("after-loss", 1, nil)).GetVerdict()).
+			Expect(submit(s.live()[0], submission("after-loss", 1)).GetVerdict()).
 				To(Equal(schemav1.SubmissionOutcome_VERDICT_ACCEPTED))
 			s.expectRevision(2)
 			l.awaitServed(50)
@@ -109,7 +113,7 @@
 			const name = "seoul-mapo-1"
 			s.network.setCut(func(from, to string) bool { return from == name || to == name })
 			s.setDown(name, true)
-			Expect(submit(s.live()[0], submission("while-silent", 1, nil)).GetRevision()).To(BeEquivalentTo(2))
+			Expect(submit(s.live()[0], submission("while-silent", 1)).GetRevision()).To(BeEquivalentTo(2))
 			s.expectRevision(2)
 			l.awaitServed(50)
 			s.network.setCut(nil)
@@ -119,6 +123,7 @@
 		Entry("I2: when two of three hosts of a data centre are lost and one restarts", func(s *system, _ *load) {
 			s.kill("busan-seomyeon-1")
 			s.kill("busan-seomyeon-2")
+			By("restart")
 			s.restart("busan-seomyeon-1")
 			Eventually(func() uint64 { return s.generation("busan-seomyeon-3") }, within, often).Should(BeNumerically(">=", 2))
 		}),
@@ -168,7 +173,7 @@
 			}, within, often).Should(HaveField("Code", apierr.OwnerUnreachable))
 			refused := send(client, s.host("seoul-mapo-2").CallerAddress(), owned).refusal
 			Expect(refused).To(HaveField("Ran", apierr.NotRun))
-			submitted := submit(s.host("seoul-mapo-2"), submission("during-partition", 1, nil))
+			submitted := submit(s.host("seoul-mapo-2"), submission("during-partition", 1))
 			Expect(submitted.GetVerdict()).To(Equal(schemav1.SubmissionOutcome_VERDICT_ACCEPTED))
 			Expect(send(client, s.host(away+"-2").CallerAddress(), owned).served()).To(BeTrue())
 			l.awaitServed(50)
@@ -197,7 +202,7 @@
 	It("I4: lose and double no request when a data centre goes out and returns", func() {
 		s := newSystem()
 		l := underLoad(s, func(l *load) {
-			out := submission("out", 1, nil, "data_centre: seoul-mapo\nout: true\n")
+			out := submission("out", 1, "data_centre: seoul-mapo\nout: true\n")
 			Expect(submit(s.live()[0], out).GetProblems()).To(BeEmpty())
 			s.expectRevision(2)
 			before := func() int { return len(s.targets[1].Runs()) + len(s.targets[5].Runs()) }
@@ -208,7 +213,7 @@
 				}
 				return before() == count
 			}, within, often).Should(BeTrue())
-			Expect(submit(s.live()[0], submission("back", 2, nil)).GetProblems()).To(BeEmpty())
+			Expect(submit(s.live()[0], submission("back", 2)).GetProblems()).To(BeEmpty())
 			s.expectRevision(3)
 			count := before()
 			Eventually(before, within, often).Should(BeNumerically(">", count))
@@ -226,14 +231,14 @@
 		for i, id := range []string{"one", "two"} {
 			go func() {
 				defer GinkgoRecover()
-				verdicts <- submit(s.hosts[i*5], submission(id, 1, nil)).GetVerdict()
+				verdicts <- submit(s.hosts[i*5], submission(id, 1)).GetVerdict()
 			}()
 		}
 		Expect([]schemav1.SubmissionOutcome_Verdict{<-verdicts, <-verdicts}).To(ConsistOf(
 			schemav1.SubmissionOutcome_VERDICT_ACCEPTED, schemav1.SubmissionOutcome_VERDICT_CONFLICT))
 		s.expectRevision(2)
-		one := submit(s.hosts[3], submission("one", 1, nil))
-		two := submit(s.hosts[7], submission("two", 1, nil))
+		one := submit(s.hosts[3], submission("one", 1))
+		two := submit(s.hosts[7], submission("two", 1))
 		Expect([]schemav1.SubmissionOutcome_Verdict{one.GetVerdict(), two.GetVerdict()}).To(ConsistOf(
 			schemav1.SubmissionOutcome_VERDICT_ACCEPTED, schemav1.SubmissionOutcome_VERDICT_CONFLICT))
 		s.expectRevision(2)
@@ -243,7 +248,7 @@
 		s := newSystem()
 		const last = 301
 		for revision := uint64(1); revision < last; revision++ {
-			Expect(submit(s.hosts[3], submission("s"+string(rune('0'+revision)), revision, nil)).GetRevision()).
+			Expect(submit(s.hosts[3], submission("s"+string(rune('0'+revision)), revision)).GetRevision()).
 				To(Equal(revision + 1))
 		}
 		members := []string{"seoul-gangnam-1", "seoul-mapo-1", "busan-haeundae-1"}
@@ -254,9 +259,9 @@
 			s.restart(name)
 		}
 		s.expectRevision(last)
-		Expect(submit(s.hosts[3], submission("stale", 1, nil)).GetVerdict()).
+		Expect(submit(s.hosts[3], submission("stale", 1)).GetVerdict()).
 			To(Equal(schemav1.SubmissionOutcome_VERDICT_CONFLICT))
-		next := submit(s.hosts[3], submission("next", last, nil))
+		next := submit(s.hosts[3], submission("next", last))
 		Expect(next.GetRevision()).To(BeEquivalentTo(last + 1))
 		s.expectRevision(last + 1)
 		s.eventuallyServed()
--- a/pkg/dev/load_test.go
+++ b/pkg/dev/load_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,8 +23,10 @@
 type operation struct {
 	key, method, tenant, path, body string
 	// keyed operations carry an Idempotency-Key and are sent again after a refusal or a lost answer.
-	keyed   bool
-	answers []reply
+	keyed bool
+	// deadline is 4 s when 0.
+	deadline time.Duration
+	answers  []reply
 }
 
 // reply is the end of one send.
@@ -130,7 +134,7 @@
 		return reply{err: err}
 	}
 	request.Header.Set("Almondrock-Key", o.key)
-	request.Header.Set("Almondrock-Deadline-Ms", "4000")
+	request.Header.Set("Almondrock-Deadline-Ms", strconv.FormatInt(cmp.Or(o.deadline, 4*time.Second).Milliseconds(), 10))
 	if o.tenant != "" {
 		request.Header.Set("Almondrock-Tenant", o.tenant)
 	}
