--- a/pkg/dev/faults_test.go
+++ b/pkg/dev/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -43,7 +44,7 @@
 	By("callers stop")
 	stop()
 	By("check")
-	if found := check(l.operations, s.runs()); len(found) > 0 {
+	if found := slices.Concat(l.reverted, check(l.operations, s.runs())); len(found) > 0 {
 		Fail(strings.Join(found[:min(len(found), 5)], "\n"))
 	}
 	return l
--- a/pkg/dev/load_test.go
+++ b/pkg/dev/load_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/host"
 	"almondrock.example/almondrock/pkg/standin"
 )
 
@@ -71,6 +72,8 @@
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 	next   atomic.Int64
+	// reverted may be read after stop.
+	reverted []string
 }
 
 func (s *system) startLoad() *load {
@@ -84,9 +87,26 @@
 			}
 		})
 	}
+	l.wait.Go(func() { l.watchRevisions(ctx) })
 	return l
 }
 
+// watchRevisions notes each host process whose revision goes back (I11).
+func (l *load) watchRevisions(ctx context.Context) {
+	highest := map[*host.Host]uint64{}
+	for ctx.Err() == nil {
+		for _, h := range l.system.live() {
+			switch revision := revisionAt(h); {
+			case revision >= highest[h]:
+				highest[h] = revision
+			case revision > 0:
+				l.reverted = append(l.reverted, fmt.Sprintf("I11 %s went from revision %d to %d", h.Name(), highest[h], revision))
+			}
+		}
+		time.Sleep(resendPause)
+	}
+}
+
 func newClient() *http.Client {
 	return &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
 }
@@ -128,8 +148,8 @@
 	}
 }
 
-func send(client *http.Client, host string, o *operation) reply {
-	request, err := http.NewRequest(o.method, "http://"+host+"/desk"+o.path, bytes.NewReader([]byte(o.body)))
+func send(client *http.Client, address string, o *operation) reply {
+	request, err := http.NewRequest(o.method, "http://"+address+"/desk"+o.path, bytes.NewReader([]byte(o.body)))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -143,17 +163,17 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return reply{host: host, err: err}
+		return reply{host: address, err: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return reply{host: host, err: err}
+		return reply{host: address, err: err}
 	}
 	if refusal, ok := apierr.Parse(data); ok {
-		return reply{host: host, status: response.StatusCode, refusal: refusal}
+		return reply{host: address, status: response.StatusCode, refusal: refusal}
 	}
-	r := reply{host: host, status: response.StatusCode}
+	r := reply{host: address, status: response.StatusCode}
 	r.err = json.Unmarshal(data, &r.answer)
 	return r
 }
