Count no idle close as a failed dial in rpc

Cause: the spec 'replaces idle connections' failed in about 1 of 7 runs with 'connection without an answer is closed': a connection closed by the client's own idle timer before its first request left the back-off of its dial in force. Ruled out: the server, which had accepted and kept the connection.

Change: closing an idle connection ends the back-off.

--- a/pkg/rpc/clientcodec.go
+++ b/pkg/rpc/clientcodec.go
@@ -55,7 +55,7 @@
 	writer  *pacedConn
 	reader  *frameReader
 	header  *schemav1.RpcHeader
-	// answered is called once, at the first answer.
+	// answered is called at the first answer, and when the connection is closed because it is idle.
 	answered func()
 
 	mu          sync.Mutex
@@ -207,10 +207,12 @@
 
 func (c *clientCodec) closeIfIdle() {
 	c.mu.Lock()
-	idle := len(c.outstanding) == 0
+	idle := len(c.outstanding) == 0 && !c.closed
 	c.closed = c.closed || idle
 	c.mu.Unlock()
 	if idle {
+		// Nothing failed: a connection that this side closes before its first request must not count as a failed dial.
+		c.answered()
 		c.conn.Close()
 	}
 }
