Let new leaders count from their election, and sync before a renewal; keep probes out of a test's count

Reading the path: a host reported the log index of its last sync, and commands that change no target, such as idempotency records, wake no sync, so that a new leader could refuse its lease for up to 500 ms. A new leader also counted the wait for old leases from the end of its read barrier instead of its election. In pkg/proxy, the merge of the probes of silent hosts broke 'never sent again': the fake peer counted the probe, which carries nothing of the caller, as a second request.

Change: a renewal syncs first when the index is behind; the wait starts when the leadership is first seen; the fake peer ignores requests without a request id, which every forwarded request has.

--- a/pkg/host/group.go
+++ b/pkg/host/group.go
@@ -86,6 +86,16 @@
 	return g.driver, g.driver != nil
 }
 
+// markSynced raises the index up to which the attached targets follow the table.
+func (g *group) markSynced(applied uint64) {
+	for {
+		current := g.synced.Load()
+		if applied <= current || g.synced.CompareAndSwap(current, applied) {
+			return
+		}
+	}
+}
+
 // step runs one round of the leader, or drops the driver when the leadership is over.
 func (g *group) step(ctx context.Context) {
 	status := g.replica.Status()
@@ -93,9 +103,11 @@
 		g.setDriver(nil, 0)
 		return
 	}
+	// No earlier leader has granted a lease after this time: its own lease ended before this election.
+	elected := g.host.clock()
 	driver, ok := g.leads()
 	if !ok || g.term != status.Term {
-		if driver, ok = g.becomeLeader(ctx, status.Term); !ok {
+		if driver, ok = g.becomeLeader(ctx, status.Term, elected); !ok {
 			return
 		}
 	}
@@ -110,11 +122,11 @@
 }
 
 // becomeLeader makes the driver of a new term once the table shows everything that earlier leaders committed.
-func (g *group) becomeLeader(ctx context.Context, term uint64) (*ownership.Driver, bool) {
+func (g *group) becomeLeader(ctx context.Context, term uint64, elected time.Duration) (*ownership.Driver, bool) {
 	if err := g.replica.ReadBarrier(ctx); err != nil {
 		return nil, false
 	}
-	driver := ownership.NewDriver(g.table, g.host.clock, ownership.Options{
+	driver := ownership.NewDriver(g.table, func() time.Duration { return elected }, ownership.Options{
 		HoldsLease: g.replica.HoldsLease,
 		Wall:       time.Now,
 		Log:        g.host.decisions,
--- a/pkg/host/loops.go
+++ b/pkg/host/loops.go
@@ -54,6 +54,10 @@
 	if status.LeaderAddress == "" {
 		return
 	}
+	if g.synced.Load() < g.table.Applied() {
+		// Commands that change no target, such as idempotency records, wake no sync, but a new leader asks for all of them.
+		h.sync(ctx, g)
+	}
 	request := &schemav1.RenewRequest{
 		Host:       h.settings.GetName(),
 		Identity:   h.identity,
@@ -145,7 +149,7 @@
 		}
 	}
 	h.manager.Sync(ctx, mine, g.table.ShardsOf)
-	g.synced.Store(applied)
+	g.markSynced(applied)
 	h.gauges(g, len(mine))
 }
 
--- a/pkg/proxy/peer_test.go
+++ b/pkg/proxy/peer_test.go
@@ -20,6 +20,11 @@
 	w := newWorld()
 	h := w.addHost("h0", "seoul-gangnam")
 	server, address := listen(http.HandlerFunc(func(writer http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Almondrock-Request-Id") == "" {
+			// A probe of a silent host carries nothing of a caller; every forwarded request has an id.
+			<-r.Context().Done()
+			return
+		}
 		writer.Header().Set("Almondrock-Request-Id", r.Header.Get("Almondrock-Request-Id"))
 		behave(calls.Add(1), writer, r)
 	}))
