Keep a warm target warm when another host takes it over

Suspected: the new host's gate starts the target's ramp from zero, about a ninth of its rate, so the later keys queue.

Change: attached hosts report whether a target is past its cold start, the table keeps it by boot, and the next host's gate goes on from there.

--- a/pkg/dev/recovery_test.go
+++ b/pkg/dev/recovery_test.go
@@ -49,6 +49,7 @@
 	recoverySite   = "seoul-mapo"
 	// recoveryDeadline is short, so that a request that met the lost host does not count for its whole deadline.
 	recoveryDeadline = 250 * time.Millisecond
+	recoveryWarmUp   = 14 * time.Second
 )
 
 func recoveryTrial(b *testing.B, lose func(s *system, attached, leader string)) time.Duration {
@@ -72,6 +73,12 @@
 	if len(keys) == 0 {
 		b.Fatal("the target owns none of the probed keys")
 	}
+	// The target must be past its cold start, which takes 10 s of answered requests.
+	for begun := time.Now(); time.Since(begun) < recoveryWarmUp; time.Sleep(20 * time.Millisecond) {
+		for _, o := range keys {
+			send(client, s.hosts[0].CallerAddress(), o)
+		}
+	}
 	start := time.Now()
 	lose(s, attached, leader)
 	for _, o := range keys {
--- a/pkg/host/gate.go
+++ b/pkg/host/gate.go
@@ -32,6 +32,7 @@
 		Slots:    announcement.GetSlots(),
 		MaxQueue: maxQueue,
 		BootID:   announcement.GetBootId(),
+		Warm:     record.GetWarm(),
 		Observer: h.newGateObserver(announcement.GetTarget()),
 	})}
 }
--- a/pkg/limit/gate.go
+++ b/pkg/limit/gate.go
@@ -39,6 +39,8 @@
 	MaxQueue int
 	// BootID is the boot id of the target's announcement. Boot starts the ramp again when it changes.
 	BootID string
+	// Warm starts the target at its full rate: another gate has seen this boot past its cold start.
+	Warm bool
 	// Clock is the process clock when nil.
 	Clock Clock
 	// Observer may be nil.
@@ -113,9 +115,19 @@
 	g := &Gate{clock: options.Clock, observer: options.Observer, bootID: options.BootID}
 	g.core = newCore(int(options.Slots), options.MaxQueue, options.Clock.Now())
 	g.core.settled = g.settled
+	if options.Warm {
+		g.core.ramp.SkipColdStart()
+	}
 	return g
 }
 
+// Warm reports whether the target is past its cold start.
+func (g *Gate) Warm() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.ramp.Warm()
+}
+
 // Acquire waits for a slot. Its errors are apierr refusals with ran = not-run: Overloaded when the request can't be
 // answered in time or the queue is full, Deadline when the deadline passes while it waits, and the refusal given to
 // Close after the gate was closed. The error of a cancelled ctx also wraps the cause of the cancellation.
--- a/pkg/limit/ramp.go
+++ b/pkg/limit/ramp.go
@@ -94,6 +94,11 @@
 	r.slots = slots
 }
 
+// SkipColdStart goes to the full rate at once, for a target that is known to be warm. Trouble sends it back as usual.
+func (r *Ramp) SkipColdStart() {
+	r.step, r.warmed = rampSteps, true
+}
+
 // Warm reports whether the target gets its full rate and all its slots.
 func (r *Ramp) Warm() bool {
 	return r.step >= rampSteps
--- a/pkg/ownership/apply.go
+++ b/pkg/ownership/apply.go
@@ -68,6 +68,8 @@
 		return t.registerTarget(c.RegisterTarget.GetAnnouncement())
 	case *schemav1.GroupCommand_MarkTargetLost:
 		return t.markTargetLost(c.MarkTargetLost)
+	case *schemav1.GroupCommand_SetTargetWarm:
+		return t.setTargetWarm(c.SetTargetWarm)
 	case *schemav1.GroupCommand_AttachTarget:
 		return t.attachTarget(c.AttachTarget)
 	case *schemav1.GroupCommand_AssignShards:
--- a/pkg/ownership/driver.go
+++ b/pkg/ownership/driver.go
@@ -117,6 +117,7 @@
 	}
 	commands := d.registrations()
 	commands = append(commands, d.losses(now)...)
+	commands = append(commands, d.warmth(now)...)
 	commands = append(commands, d.attachments(now)...)
 	commands = append(commands, d.placements(now)...)
 	commands = append(commands, d.hotKeys(now)...)
--- a/pkg/ownership/observe.go
+++ b/pkg/ownership/observe.go
@@ -47,6 +47,9 @@
 	// failedHost is the last host that could not reach the target.
 	failedHost holderKey
 
+	// warmAt is the last proposal about the cold start.
+	warmAt time.Duration
+
 	lost      bool
 	losses    int
 	lostAt    time.Duration
--- a/pkg/ownership/targets.go
+++ b/pkg/ownership/targets.go
@@ -81,7 +81,7 @@
 		if excess := len(r.PastBootIds) - maxPastBoots; excess > 0 {
 			r.PastBootIds = r.PastBootIds[excess:]
 		}
-		r.Announcement, r.Lost = announcement, false
+		r.Announcement, r.Lost, r.Warm = announcement, false, false
 	})
 	t.refenceShardsOf(announcement.Target)
 }
@@ -109,7 +109,7 @@
 		return false
 	}
 	t.updateTarget(record, func(r *schemav1.TargetRecord) {
-		r.Lost = true
+		r.Lost, r.Warm = true, false
 		t.detach(r)
 	})
 	return true
--- a/pkg/target/gate.go
+++ b/pkg/target/gate.go
@@ -51,3 +51,14 @@
 	Result  Result
 	Latency time.Duration
 }
+
+// warmer is a gate that knows when a target is past its cold start.
+type warmer interface {
+	Warm() bool
+}
+
+// isWarm reports whether the target is past its cold start; false when the gate can't tell.
+func (a *Attached) isWarm() bool {
+	gate, ok := a.gate.(warmer)
+	return ok && gate.Warm()
+}
--- a/pkg/target/manager.go
+++ b/pkg/target/manager.go
@@ -265,6 +265,7 @@
 		announcement := a.Record().GetAnnouncement()
 		report := &schemav1.TargetReport{Target: announcement.GetTarget(), BootId: announcement.GetBootId()}
 		a.health.report(now, announcement.GetSlots(), report)
+		report.Warm = a.isWarm()
 		reports = append(reports, report)
 		m.options.Scope.Tagged(map[string]string{metrics.TagTarget: report.GetTarget()}).
 			Gauge(metrics.ConnectionsToTarget).Update(float64(a.Connections()))
