Let a deployment start again from its data folders

The members of the control group got other ports, but their log names them by address. With the ports kept, no data centre formed a group: the sealing rule took a voter for gone only when another identity polled from the voter's address, and restarted hosts had other addresses. The same would hit any host that is replaced at another address.

Change: the dev command keeps the control members' addresses beside their logs; a voter is gone when no host has its identity any more.

--- a/pkg/control/generation.go
+++ b/pkg/control/generation.go
@@ -137,17 +137,16 @@
 	return best
 }
 
-// sealedOrGone returns the voters that sealed, or whose host runs under another identity by now.
+// sealedOrGone returns the voters that sealed, or whose process is gone: every voter was a known host once, and its
+// identity disappears only when the host joins again under a new one, perhaps at another address, or is removed.
 func sealedOrGone(voters []*schemav1.Member, responses map[uint64]*schemav1.SealResponse, hosts []*schemav1.Host) map[uint64]bool {
 	stopped := map[uint64]bool{}
-	replaced := map[string]uint64{}
+	present := map[uint64]bool{}
 	for _, host := range hosts {
-		replaced[host.GetRpcAddress()] = host.GetIdentity()
+		present[host.GetIdentity()] = true
 	}
 	for _, voter := range voters {
-		_, sealed := responses[voter.GetId()]
-		identity, known := replaced[voter.GetAddress()]
-		if sealed || (known && identity != voter.GetId()) {
+		if _, sealed := responses[voter.GetId()]; sealed || !present[voter.GetId()] {
 			stopped[voter.GetId()] = true
 		}
 	}
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -126,15 +126,19 @@
 			if len(plans) == 0 {
 				settings.Listen, settings.Admin = cmp.Or(options.Listen, loopbackAny), cmp.Or(options.Admin, loopbackAny)
 			}
+			if len(seeds) < controlMembers {
+				settings.DataDir = filepath.Join(options.DataDir, settings.GetName())
+				settings.Rpc = rememberedAddress(settings.GetDataDir())
+			}
 			listeners, err := host.Listen(settings)
+			if err == nil && settings.GetDataDir() != "" {
+				err = rememberAddress(settings.GetDataDir(), listeners.RPC.Addr().String())
+				seeds = append(seeds, settings.GetName()+"="+listeners.RPC.Addr().String())
+			}
 			if err != nil {
 				closeAll(plans)
 				return nil, err
 			}
-			if len(seeds) < controlMembers {
-				settings.DataDir = filepath.Join(options.DataDir, settings.GetName())
-				seeds = append(seeds, settings.GetName()+"="+listeners.RPC.Addr().String())
-			}
 			plans = append(plans, host.Options{
 				Settings: settings, Listeners: listeners, Check: options.Check, First: options.First,
 			})
@@ -149,6 +153,29 @@
 // loopbackAny is any free port.
 const loopbackAny = "127.0.0.1:0"
 
+// addressFile is in the data folder of each member of the control group. The group's log names its members by address,
+// so a deployment that starts again from its folders must listen where it did before.
+const addressFile = "rpc-address"
+
+func rememberedAddress(folder string) string {
+	content, err := os.ReadFile(filepath.Join(folder, addressFile))
+	if err != nil {
+		return loopbackAny
+	}
+	return string(content)
+}
+
+func rememberAddress(folder, address string) error {
+	err := os.MkdirAll(folder, 0o755)
+	if err == nil {
+		err = os.WriteFile(filepath.Join(folder, addressFile), []byte(address), 0o644)
+	}
+	if err != nil {
+		return &FolderError{Err: err}
+	}
+	return nil
+}
+
 func closeAll(plans []host.Options) {
 	for _, plan := range plans {
 		plan.Listeners.Close()
