Keep the attempt of an idempotency record until its finish is committed

Cause: found by reading. A finish that failed forgot its attempt number, so the repeat in the background failed too and the record stayed in progress; a begin without a leader was answered as unknown although nothing was proposed.

Change: the attempt is forgotten after the commit; a begin that was certainly not proposed is refused not-run.

Before: no test for either.

--- a/pkg/host/records.go
+++ b/pkg/host/records.go
@@ -28,6 +28,9 @@
 	record.Attempt = rand.Uint64() //nolint:gosec // it only has to differ between attempts
 	command := &schemav1.GroupCommand{Command: &schemav1.GroupCommand_BeginRecord{BeginRecord: &schemav1.BeginRecord{Record: record}}}
 	result, err := r.host.proposeToLeader(ctx, command)
+	if errors.Is(err, ErrNotLeader) || errors.Is(err, ErrNoGroup) {
+		return nil, false, retryLater("the data centre group has no leader")
+	}
 	if err != nil {
 		return nil, false, err
 	}
@@ -49,13 +52,17 @@
 
 // Finish implements proxy.Records.
 func (r records) Finish(ctx context.Context, id []byte, state schemav1.RecordState, answer *schemav1.StoredAnswer) error {
-	attempt, ok := r.attempts.LoadAndDelete(string(id))
+	attempt, ok := r.attempts.Load(string(id))
 	if !ok {
 		return merry.Wrap(ErrNotBegun)
 	}
 	_, err := r.host.proposeToLeader(ctx, &schemav1.GroupCommand{Command: &schemav1.GroupCommand_FinishRecord{
 		FinishRecord: &schemav1.FinishRecord{Id: id, State: state, Answer: answer, Attempt: attempt.(uint64)},
 	}})
+	if err == nil {
+		// Kept until then, since a failed call is repeated.
+		r.attempts.Delete(string(id))
+	}
 	return err
 }
 
