Share the clock and the re-armed timer of the gate and the link

Cause: pkg/limit and pkg/link, written side by side, had the same clock interface, process clock and timer logic.

Change: both use pkg/internal/monotonic.

--- a/pkg/limit/gate.go
+++ b/pkg/limit/gate.go
@@ -8,20 +8,13 @@
 	"github.com/ansel1/merry/v2"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
 // DefaultMaxQueue is the number of requests that may wait for one target.
 const DefaultMaxQueue = 64
 
-// Clock gives monotonic time and one-shot timers.
-type Clock interface {
-	// Now is the time since an arbitrary fixed point of the process.
-	Now() time.Duration
-	// AfterFunc calls f once after d, unless stop is called before.
-	AfterFunc(d time.Duration, f func()) (stop func())
-}
-
 // Observer receives the figures of a gate for metrics. Its methods are called with the gate locked, so they must be
 // short and must not call the gate.
 type Observer interface {
@@ -42,7 +35,7 @@
 	// Warm starts the target at its full rate: another gate has seen this boot past its cold start.
 	Warm bool
 	// Clock is the process clock when nil.
-	Clock Clock
+	Clock monotonic.Clock
 	// Observer may be nil.
 	Observer Observer
 }
@@ -84,15 +77,14 @@
 
 // Gate is the admission control of one target. It is safe for concurrent use.
 type Gate struct {
-	clock    Clock
+	clock    monotonic.Clock
 	observer Observer
 
-	mu        sync.Mutex
-	core      *core
-	bootID    string
-	closed    *apierr.Refusal
-	stopTimer func()
-	timerAt   time.Duration
+	mu     sync.Mutex
+	core   *core
+	bootID string
+	closed *apierr.Refusal
+	alarm  *monotonic.Alarm
 }
 
 // Permit is one slot in use. It must be released exactly once; later releases do nothing.
@@ -107,12 +99,13 @@
 // NewGate returns the gate of a target that is in cold start.
 func NewGate(options Options) *Gate {
 	if options.Clock == nil {
-		options.Clock = processClock{}
+		options.Clock = monotonic.Process{}
 	}
 	if options.MaxQueue <= 0 {
 		options.MaxQueue = DefaultMaxQueue
 	}
 	g := &Gate{clock: options.Clock, observer: options.Observer, bootID: options.BootID}
+	g.alarm = monotonic.NewAlarm(options.Clock, g.wake)
 	g.core = newCore(int(options.Slots), options.MaxQueue, options.Clock.Now())
 	g.core.settled = g.settled
 	if options.Warm {
@@ -218,23 +211,13 @@
 		g.observer.Load(g.core.queued, g.core.running)
 	}
 	at, ok := g.core.nextWake(now)
-	if ok && g.stopTimer != nil && g.timerAt == at {
-		return
-	}
-	if g.stopTimer != nil {
-		g.stopTimer()
-		g.stopTimer = nil
-	}
-	if ok {
-		g.timerAt = at
-		g.stopTimer = g.clock.AfterFunc(max(at-now, 0), g.wake)
-	}
+	g.alarm.Set(now, at, ok)
 }
 
 func (g *Gate) wake() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stopTimer = nil
+	g.alarm.Fired()
 	g.changed(g.clock.Now())
 }
 
@@ -301,15 +284,3 @@
 	err := apierr.New(apierr.Deadline, "the request was cancelled before it was sent")
 	return merry.Wrap(err, merry.WithCause(context.Cause(ctx)))
 }
-
-// processClock is the clock of the process.
-type processClock struct{}
-
-var processStart = time.Now()
-
-func (processClock) Now() time.Duration { return time.Since(processStart) }
-
-func (processClock) AfterFunc(d time.Duration, f func()) func() {
-	timer := time.AfterFunc(d, f)
-	return func() { timer.Stop() }
-}
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -56,14 +57,6 @@
 	return [...]string{"out", "in"}[d]
 }
 
-// Clock gives monotonic time and one-shot timers.
-type Clock interface {
-	// Now is the time since an arbitrary fixed point of the process.
-	Now() time.Duration
-	// AfterFunc calls f once after d, unless stop is called before.
-	AfterFunc(d time.Duration, f func()) (stop func())
-}
-
 // Options configure a Link.
 type Options struct {
 	// Mbit is the rate of the whole link, each way, in Mbit/s.
@@ -71,7 +64,7 @@
 	// Hosts is the number of hosts of the region that share the link; 1 when 0.
 	Hosts int
 	// Clock is the process clock when nil.
-	Clock Clock
+	Clock monotonic.Clock
 	// Counted is told about bytes that were sent or received; it may be nil.
 	Counted func(direction Direction, class Class, bytes int)
 }
@@ -85,24 +78,25 @@
 
 // way is one direction of the link.
 type way struct {
-	clock Clock
+	clock monotonic.Clock
 
 	mu     sync.Mutex
 	bucket bucket
 	// backlog is what open streams have still to send, in bytes.
-	backlog   [classCount]int64
-	stopTimer func()
-	timerAt   time.Duration
+	backlog [classCount]int64
+	alarm   *monotonic.Alarm
 }
 
 // New returns the share of one host.
 func New(options Options) *Link {
 	if options.Clock == nil {
-		options.Clock = processClock{}
+		options.Clock = monotonic.Process{}
 	}
 	l := &Link{options: options}
 	for i := range l.ways {
-		l.ways[i] = &way{clock: options.Clock}
+		w := &way{clock: options.Clock}
+		w.alarm = monotonic.NewAlarm(options.Clock, w.wake)
+		l.ways[i] = w
 	}
 	l.Share(options.Hosts)
 	return l
@@ -202,34 +196,12 @@
 	now := w.clock.Now()
 	w.bucket.serve(now)
 	at, ok := w.bucket.nextServe(now)
-	if ok && w.stopTimer != nil && w.timerAt == at {
-		return
-	}
-	if w.stopTimer != nil {
-		w.stopTimer()
-		w.stopTimer = nil
-	}
-	if ok {
-		w.timerAt = at
-		w.stopTimer = w.clock.AfterFunc(at-now, w.wake)
-	}
+	w.alarm.Set(now, at, ok)
 }
 
 func (w *way) wake() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stopTimer = nil
+	w.alarm.Fired()
 	w.changed()
 }
-
-// processClock is the clock of the process.
-type processClock struct{}
-
-var processStart = time.Now()
-
-func (processClock) Now() time.Duration { return time.Since(processStart) }
-
-func (processClock) AfterFunc(d time.Duration, f func()) func() {
-	timer := time.AfterFunc(d, f)
-	return func() { timer.Stop() }
-}
