Bound the proposals of the control leader

Cause: found by reading, as a twin of the unbounded proposals in pkg/host: a control leader without a majority waited for its commit for good, and its steps stood still until the majority came back.

Change: each proposal of the service waits a second at most.

--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -31,11 +31,18 @@
 	check  Check
 	sealer Sealer
 	clock  lease.Clock
+	// proposalTimeout bounds the wait for a commit. Without a majority a proposal has no outcome, and the leader's steps
+	// must go on, so that they see the end of the leadership.
+	proposalTimeout time.Duration
 
 	mu     sync.Mutex
 	driver *Driver
 }
 
+// proposalTimeout is longer than any commit with a majority, and short against the time in which revisions must be in
+// force.
+const proposalTimeout = time.Second
+
 // Options of a Service. All fields are required.
 type Options struct {
 	State  *State
@@ -45,7 +52,7 @@
 	Clock  lease.Clock
 }
 
-// NewService returns a service; Run must be called to make the leader decide.
+// NewService returns a service; Step must be called regularly to make the leader decide.
 func NewService(options Options) *Service {
 	return &Service{
 		state:  options.State,
@@ -53,6 +60,8 @@
 		check:  options.Check,
 		sealer: options.Sealer,
 		clock:  options.Clock,
+
+		proposalTimeout: proposalTimeout,
 	}
 }
 
@@ -140,6 +149,8 @@
 	if err != nil {
 		return nil, &DecodeError{What: "control command", Err: err}
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.proposalTimeout)
+	defer cancel()
 	out, err := s.log.Propose(ctx, data)
 	if err != nil {
 		return nil, err
