Use one rule each for voters, fences, gate types and calls to the control group

Cause: reading the whole change showed twins: the number of voters in pkg/control and pkg/host; the order of fences in pkg/ownership and pkg/target; ticket, result and outcome in pkg/limit and pkg/target with an adapter between them; three handlers of the control group that differ in one method.

Change: control.WantedVoters, lease.CompareFences, aliases of the types of pkg/limit, and one generic handler. An error value that nothing returned is gone. Behaviour and assertions are unchanged; tests call the moved function.

--- a/pkg/control/driver.go
+++ b/pkg/control/driver.go
@@ -135,15 +135,21 @@
 	return commands
 }
 
-// Voters picks the voters of a group among hosts: as many as possible up to five, and an odd number when there is a
-// choice, since an even number of voters survives no more losses.
+// WantedVoters is the number of voters of a group of hosts: as many as possible up to five, and an odd number when there
+// is a choice, since an even number of voters survives no more losses.
+func WantedVoters(hosts int) int {
+	wanted := min(hosts, maxVoters)
+	if wanted > 2 && wanted%2 == 0 {
+		wanted--
+	}
+	return wanted
+}
+
+// Voters picks the first voters of a group among hosts, in name order.
 func Voters(hosts []*schemav1.Host) []*schemav1.Member {
 	hosts = slices.Clone(hosts)
 	slices.SortFunc(hosts, func(a, b *schemav1.Host) int { return cmp.Compare(a.GetName(), b.GetName()) })
-	count := min(len(hosts), maxVoters)
-	if count > 2 && count%2 == 0 {
-		count--
-	}
+	count := WantedVoters(len(hosts))
 	members := make([]*schemav1.Member, 0, count)
 	for _, host := range hosts[:count] {
 		members = append(members, &schemav1.Member{Id: host.GetIdentity(), Address: host.GetRpcAddress()})
--- a/pkg/control/errors.go
+++ b/pkg/control/errors.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-
-	"github.com/ansel1/merry/v2"
 )
 
 // FormatError reports a snapshot written by a newer release.
@@ -29,6 +27,3 @@
 
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.Err }
-
-// ErrNotLeader is returned by calls that only the leader of the control group answers.
-var ErrNotLeader = merry.Sentinel("this host does not lead the control group")
--- a/pkg/dev/checker_test.go
+++ b/pkg/dev/checker_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/standin"
 	"almondrock.example/almondrock/pkg/target"
 )
@@ -50,7 +51,7 @@
 		for _, run := range list {
 			older, _ := target.ParseFence(newest.Fence)
 			fence, ok := target.ParseFence(run.Fence)
-			order := target.CompareFences(fence, older)
+			order := lease.CompareFences(fence, older)
 			switch {
 			case !ok:
 				violations = append(violations, fmt.Sprintf("I1 %v: run without fence: %+v", unit, run))
--- a/pkg/host/gate.go
+++ b/pkg/host/gate.go
@@ -58,20 +58,11 @@
 
 // Acquire implements target.Gate.
 func (g gate) Acquire(ctx context.Context, ticket target.Ticket) (target.Permit, error) {
-	permit, err := g.Gate.Acquire(ctx, limit.Ticket(ticket))
+	permit, err := g.Gate.Acquire(ctx, ticket)
 	if err != nil {
 		return nil, err
 	}
-	return permitAdapter{permit}, nil
-}
-
-type permitAdapter struct {
-	permit *limit.Permit
-}
-
-// Release implements target.Permit.
-func (p permitAdapter) Release(outcome target.Outcome) {
-	p.permit.Release(limit.Outcome{Result: limit.Result(outcome.Result), Latency: outcome.Latency})
+	return permit, nil
 }
 
 // retries adapts package retry to the data path.
--- a/pkg/host/group.go
+++ b/pkg/host/group.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/control"
 	"almondrock.example/almondrock/pkg/decisionlog"
 	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/ownership"
@@ -21,8 +22,6 @@
 const (
 	// voterSilence is how long a voter must be silent before the leader removes it from the group.
 	voterSilence = 10 * time.Second
-	// maxGroupVoters is the number of voters that the leader aims at.
-	maxGroupVoters = 5
 	// measureInterval is the resolution of unavailable time.
 	measureInterval = 500 * time.Millisecond
 	// maxProposals bounds commands of one step that wait for their commit together.
@@ -205,7 +204,7 @@
 		}
 	}
 	for _, member := range status.Members {
-		if member.Learner && member.CaughtUp && hosts[member.ID] != nil && voters < wantedVoters(len(hosts)) {
+		if member.Learner && member.CaughtUp && hosts[member.ID] != nil && voters < control.WantedVoters(len(hosts)) {
 			return func(ctx context.Context, r *replication.Replica) error { return r.Promote(ctx, member.ID) }
 		}
 	}
@@ -225,12 +224,3 @@
 	}
 	return nil
 }
-
-// wantedVoters is odd when there is a choice, since an even number of voters survives no more losses.
-func wantedVoters(hosts int) int {
-	wanted := min(hosts, maxGroupVoters)
-	if wanted > 2 && wanted%2 == 0 {
-		wanted--
-	}
-	return wanted
-}
--- a/pkg/host/groupservice.go
+++ b/pkg/host/groupservice.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/control"
 	"almondrock.example/almondrock/pkg/ownership"
 	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/rpc"
@@ -42,33 +43,27 @@
 	rpc.Register(server, methodAddMember, claimed(h, func(r *schemav1.AddMemberRequest) tlsconfig.Identity {
 		return tlsconfig.Identity{Name: r.GetName()}
 	}, h.control.addMember))
-	join := func(ctx context.Context, request *schemav1.JoinRequest) (*schemav1.JoinResponse, error) {
-		_, service := h.control.parts()
-		if service == nil {
-			return &schemav1.JoinResponse{}, nil
-		}
-		return service.Join(ctx, request)
-	}
 	rpc.Register(server, methodJoin, claimed(h, func(r *schemav1.JoinRequest) tlsconfig.Identity {
 		return tlsconfig.Identity{DataCentre: r.GetHost().GetDataCentre(), Name: r.GetHost().GetName()}
-	}, join))
-	poll := func(ctx context.Context, request *schemav1.PollRequest) (*schemav1.PollResponse, error) {
-		_, service := h.control.parts()
-		if service == nil {
-			return &schemav1.PollResponse{}, nil
-		}
-		return service.Poll(ctx, request)
-	}
+	}, toControl(h, (*control.Service).Join)))
 	rpc.Register(server, methodPoll, claimed(h, func(r *schemav1.PollRequest) tlsconfig.Identity {
 		return tlsconfig.Identity{DataCentre: r.GetDataCentre(), Name: r.GetHost()}
-	}, poll))
-	rpc.Register(server, methodSubmit, func(ctx context.Context, request *schemav1.SubmitRequest) (*schemav1.SubmitResponse, error) {
+	}, toControl(h, (*control.Service).Poll)))
+	rpc.Register(server, methodSubmit, toControl(h, (*control.Service).Submit))
+}
+
+// toControl makes a handler of a method of the control service; before the replica has started it answers with an empty
+// response.
+func toControl[Request, Response any](
+	h *Host, method func(*control.Service, context.Context, *Request) (*Response, error),
+) func(context.Context, *Request) (*Response, error) {
+	return func(ctx context.Context, request *Request) (*Response, error) {
 		_, service := h.control.parts()
 		if service == nil {
-			return &schemav1.SubmitResponse{}, nil
+			return new(Response), nil
 		}
-		return service.Submit(ctx, request)
-	})
+		return method(service, ctx, request)
+	}
 }
 
 // handleStep hands Raft messages to the replica of their group; others are late and ignored.
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,12 +132,7 @@
 }
 
 func (h *Host) isSeed() bool {
-	for _, s := range h.seeds {
-		if s.Name == h.settings.GetName() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(h.seeds, func(s settings.Member) bool { return s.Name == h.settings.GetName() })
 }
 
 // Start begins to serve and to join the deployment. It does not wait until the host is ready.
--- a/pkg/host/ready.go
+++ b/pkg/host/ready.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"slices"
 	"strings"
 
 	"almondrock.example/almondrock/pkg/control"
@@ -31,21 +32,12 @@
 	switch {
 	case view == nil || view.snapshot == nil:
 		reasons = append(reasons, "no configuration yet")
-	case h.isOut(view):
+	case slices.Contains(view.view.GetDataCentresOut(), h.settings.GetDataCentre()):
 		reasons = append(reasons, "data centre "+h.settings.GetDataCentre()+" is taken out of service")
 	}
 	return Readiness{OK: len(reasons) == 0, Reasons: reasons}
 }
 
-func (h *Host) isOut(view *compiledView) bool {
-	for _, out := range view.view.GetDataCentresOut() {
-		if out == h.settings.GetDataCentre() {
-			return true
-		}
-	}
-	return false
-}
-
 // String joins the reasons for a log line or an answer.
 func (r Readiness) String() string {
 	if r.OK {
--- a/pkg/ownership/apply.go
+++ b/pkg/ownership/apply.go
@@ -106,14 +106,3 @@
 	t.fenceCounter++
 	return &schemav1.Fence{Epoch: epoch, Generation: t.generation, Counter: t.fenceCounter}
 }
-
-// CompareFences orders fences by epoch, then generation, then counter. A nil fence is the lowest.
-func CompareFences(a, b *schemav1.Fence) int {
-	if c := compareUint(a.GetEpoch(), b.GetEpoch()); c != 0 {
-		return c
-	}
-	if c := compareUint(a.GetGeneration(), b.GetGeneration()); c != 0 {
-		return c
-	}
-	return compareUint(a.GetCounter(), b.GetCounter())
-}
--- a/pkg/ownership/random_test.go
+++ b/pkg/ownership/random_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"almondrock.example/almondrock/pkg/ownership"
+	"almondrock.example/almondrock/pkg/lease"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -101,10 +101,10 @@
 					if !ok {
 						continue
 					}
-					Expect(ownership.CompareFences(now.Fence, old.Fence)).To(BeNumerically(">=", 0), "seed %d: %v", seed, command)
+					Expect(lease.CompareFences(now.Fence, old.Fence)).To(BeNumerically(">=", 0), "seed %d: %v", seed, command)
 					if now.Target != "" && now.Target != old.Target {
 						changes++
-						Expect(ownership.CompareFences(now.Fence, old.Fence)).To(Equal(1))
+						Expect(lease.CompareFences(now.Fence, old.Fence)).To(Equal(1))
 						stopped := old.State == schemav1.ShardState_SHARD_STATE_MOVING || unattached[old.Target]
 						Expect(stopped).To(BeTrue(), "seed %d: %v", seed, command)
 					}
--- a/pkg/ownership/simhost_test.go
+++ b/pkg/ownership/simhost_test.go
@@ -33,7 +33,7 @@
 	slices.SortStableFunc(h.requests, func(a, b request) int { return int(a.start - b.start) })
 	last := map[uint32]request{}
 	for i, a := range h.requests {
-		if l, ok := last[a.shard]; ok && l.target != a.target && ownership.CompareFences(a.fence, l.fence) <= 0 {
+		if l, ok := last[a.shard]; ok && l.target != a.target && lease.CompareFences(a.fence, l.fence) <= 0 {
 			found = append(found, fmt.Sprintf("shard %d: fence %v of %s after %v of %s", a.shard, a.fence, a.target, l.fence, l.target))
 		}
 		last[a.shard] = a
--- a/pkg/ownership/table_test.go
+++ b/pkg/ownership/table_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/ownership"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -76,7 +77,7 @@
 		old := l.assignment(2)
 		Expect(l.apply(register(announcement("t1", "b2", 1))).Applied).To(BeTrue())
 		Expect(l.assignment(2).Target).To(Equal("t1"))
-		Expect(ownership.CompareFences(l.assignment(2).Fence, old.Fence)).To(Equal(1))
+		Expect(lease.CompareFences(l.assignment(2).Fence, old.Fence)).To(Equal(1))
 	})
 
 	// A plan made from an old state must not take a shard from its new owner (I1).
@@ -110,7 +111,7 @@
 		old := l.assignment(0).Fence
 		l.apply(attach("t1", "h2", l.t1().Attachment))
 		attached := l.assignment(0).Fence
-		Expect(ownership.CompareFences(attached, old)).To(Equal(1))
+		Expect(lease.CompareFences(attached, old)).To(Equal(1))
 		v := view(2, 2, 4)
 		v.Delegations[0].Runs[0].Epoch = 2
 		l.apply(setView(v))
@@ -189,7 +190,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		next := &log{table: ownership.NewTable(dataCentre, 2)}
 		Expect(next.table.Restore(snapshot)).To(Succeed())
-		Expect(ownership.CompareFences(next.assignment(0).Fence, old)).To(Equal(1))
+		Expect(lease.CompareFences(next.assignment(0).Fence, old)).To(Equal(1))
 		Expect(next.t1().Attachment).To(BeNumerically(">", attachment+1000))
 		Expect(next.table.Applied()).To(BeZero(), "the new log starts anew")
 		result := next.apply(begin("id", "h2", 2, 10))
--- a/pkg/proxy/attached.go
+++ b/pkg/proxy/attached.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/target"
 )
 
@@ -238,7 +239,7 @@
 		x := s.exchange
 		assignment, ok := s.options.Directory.Assignment(x.resolution.Keyspace, x.shard, x.hash)
 		if !ok || assignment.Moving || assignment.Target != s.place.target ||
-			assignment.Host != s.options.Directory.Self().Host || target.CompareFences(assignment.Fence, s.place.fence) != 0 {
+			assignment.Host != s.options.Directory.Self().Host || lease.CompareFences(assignment.Fence, s.place.fence) != 0 {
 			return noOwner(apierr.Moving, "the owner of the shard has changed")
 		}
 	}
--- a/pkg/standin/grants.go
+++ b/pkg/standin/grants.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"almondrock.example/almondrock/pkg/lease"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 	"almondrock.example/almondrock/pkg/target"
 )
@@ -42,7 +43,7 @@
 
 // observe records a fence and reports whether it is not below the highest one seen.
 func (t *grantTable) observe(u unit, fence *schemav1.Fence) bool {
-	if highest, ok := t.highest[u]; ok && target.CompareFences(fence, highest) < 0 {
+	if highest, ok := t.highest[u]; ok && lease.CompareFences(fence, highest) < 0 {
 		return false
 	}
 	t.highest[u] = fence
@@ -51,7 +52,7 @@
 
 func (t *grantTable) allows(u unit, fence *schemav1.Fence, now time.Duration) bool {
 	held, ok := t.granted[u]
-	return ok && now < held.expires && target.CompareFences(held.fence, fence) == 0 && t.observe(u, fence)
+	return ok && now < held.expires && lease.CompareFences(held.fence, fence) == 0 && t.observe(u, fence)
 }
 
 func (t *grantTable) held(now time.Duration) []target.Grant {
--- a/pkg/target/announce_test.go
+++ b/pkg/target/announce_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/lease"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 	"almondrock.example/almondrock/pkg/target"
 )
@@ -69,8 +70,8 @@
 	Expect(ok).To(BeTrue())
 	b, ok := target.ParseFence(higher)
 	Expect(ok).To(BeTrue())
-	Expect(target.CompareFences(a, b)).To(Equal(-1))
-	Expect(target.CompareFences(b, a)).To(Equal(1))
+	Expect(lease.CompareFences(a, b)).To(Equal(-1))
+	Expect(lease.CompareFences(b, a)).To(Equal(1))
 	Expect(target.FormatFence(b)).To(Equal(higher))
 },
 	Entry("counter", "1.1.9", "1.1.10"),
--- a/pkg/target/attached.go
+++ b/pkg/target/attached.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/lease"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -109,7 +110,7 @@
 	if !ok {
 		u, ok = a.units[unitID{keyspace: scope.Keyspace, shard: scope.Shard}]
 	}
-	if !ok || u.state != unitGranted || CompareFences(u.record.GetFence(), scope.Fence) != 0 {
+	if !ok || u.state != unitGranted || lease.CompareFences(u.record.GetFence(), scope.Fence) != 0 {
 		return nil, apierr.Wrap(&apierr.Refusal{
 			Code: apierr.Moving, Ran: apierr.NotRun, Message: "the shard is changing its owner", RetryAfter: movingRetryAfter,
 		})
--- a/pkg/target/contract.go
+++ b/pkg/target/contract.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -100,15 +99,6 @@
 	return &schemav1.Fence{Epoch: numbers[0], Generation: numbers[1], Counter: numbers[2]}, true
 }
 
-// CompareFences orders fences by epoch, generation and counter. It returns -1, 0 or 1.
-func CompareFences(a, b *schemav1.Fence) int {
-	return cmp.Or(
-		cmp.Compare(a.GetEpoch(), b.GetEpoch()),
-		cmp.Compare(a.GetGeneration(), b.GetGeneration()),
-		cmp.Compare(a.GetCounter(), b.GetCounter()),
-	)
-}
-
 // FormatShard returns the value of HeaderShard: keyspace, shard and, for a hot key, its hash.
 func FormatShard(grant Grant) string {
 	if grant.Hot {
--- a/pkg/target/gate.go
+++ b/pkg/target/gate.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"time"
 
-	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/limit"
 )
 
 // Gate is the admission control of one target; package limit implements it.
@@ -21,37 +20,24 @@
 	Release(outcome Outcome)
 }
 
-// Ticket is a request for one slot.
-type Ticket struct {
-	Class  schemav1.RequestClass
-	Tenant string
-	// Weight is the tenant's share; 1 when 0.
-	Weight uint32
-	// Deadline is the time left.
-	Deadline time.Duration
-}
-
-// Result tells how an admitted request ended.
-type Result int
+// The types of package limit, under the names that the data path uses.
+type (
+	// Ticket is a request for one slot.
+	Ticket = limit.Ticket
+	// Result tells how an admitted request ended.
+	Result = limit.Result
+	// Outcome is what the gate learns from an admitted request.
+	Outcome = limit.Outcome
+)
 
-// Results of an admitted request, in the order that package limit uses.
+// Results of an admitted request.
 const (
-	// Success is a complete answer, whatever its status says about the caller's own mistakes.
-	Success Result = iota
-	// Failure is a lost connection, a time-out, or an answer that blames the target.
-	Failure
-	// Shed is a refusal by the target before it ran the request.
-	Shed
-	// Cancelled is a request whose caller or sender gave up.
-	Cancelled
+	Success   = limit.Success
+	Failure   = limit.Failure
+	Shed      = limit.Shed
+	Cancelled = limit.Cancelled
 )
 
-// Outcome is what the gate learns from an admitted request.
-type Outcome struct {
-	Result  Result
-	Latency time.Duration
-}
-
 // warmer is a gate that knows when a target is past its cold start.
 type warmer interface {
 	Warm() bool
