End the back-off before an idle connection counts as closed

Change: the back-off ends first; then the timer looks again and closes. The spec of the timer checks this order.

Before: the spec fails on the old order.

--- a/pkg/rpc/clientcodec.go
+++ b/pkg/rpc/clientcodec.go
@@ -206,17 +206,27 @@
 }
 
 func (c *clientCodec) closeIfIdle() {
+	if !c.isIdle() {
+		return
+	}
+	// Nothing failed: a connection that this side closes before its first request must not count as a failed dial. The
+	// back-off ends before the connection counts as closed, since the next call dials as soon as it does.
+	c.answered()
 	c.mu.Lock()
 	idle := len(c.outstanding) == 0 && !c.closed
 	c.closed = c.closed || idle
 	c.mu.Unlock()
 	if idle {
-		// Nothing failed: a connection that this side closes before its first request must not count as a failed dial.
-		c.answered()
 		c.conn.Close()
 	}
 }
 
+func (c *clientCodec) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.outstanding) == 0 && !c.closed
+}
+
 // Close implements rpc.ClientCodec.
 func (c *clientCodec) Close() error {
 	c.mu.Lock()
--- a/pkg/rpc/idle_internal_test.go
+++ b/pkg/rpc/idle_internal_test.go
@@ -15,7 +15,12 @@
 		client, server := net.Pipe()
 		defer server.Close()
 		ended := 0
-		codec := newClientCodec(client, ClientOptions{IdleTimeout: time.Hour}.withDefaults(), func() { ended++ })
+		var codec *clientCodec
+		codec = newClientCodec(client, ClientOptions{IdleTimeout: time.Hour}.withDefaults(), func() {
+			ended++
+			// A call that saw the connection closed earlier would still meet the back-off.
+			Expect(codec.isClosed()).To(BeFalse())
+		})
 		codec.closeIfIdle()
 		Expect(ended).To(Equal(1))
 		Expect(codec.isClosed()).To(BeTrue())
