--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -45,6 +45,9 @@
 	HostsPerDataCentre int
 	LogDecisions       bool
 	Check              control.Check
+	// EditHost and EditTarget change the options of a host or a target before its start; nil changes nothing.
+	EditHost   func(*host.Options)
+	EditTarget func(*standin.Options)
 }
 
 // Deployment is a running deployment.
@@ -87,8 +90,11 @@
 	if err != nil {
 		return err
 	}
-	for _, plan := range plans {
-		started, err := host.New(plan)
+	for i := range plans {
+		if options.EditHost != nil {
+			options.EditHost(&plans[i])
+		}
+		started, err := host.New(plans[i])
 		if err != nil {
 			return err
 		}
@@ -153,7 +159,7 @@
 		sites := sitesOf(options.Configuration, service)
 		for i := range options.Targets[service.GetName()] {
 			site := sites[i%len(sites)]
-			target, err := standin.Start(standin.Options{
+			target, err := startTarget(options, standin.Options{
 				Name:           fmt.Sprintf("%s-%d", service.GetName(), i+1),
 				Service:        service.GetName(),
 				DataCentre:     site.GetName(),
@@ -171,6 +177,13 @@
 	return nil
 }
 
+func startTarget(options Options, plan standin.Options) (*standin.Server, error) {
+	if options.EditTarget != nil {
+		options.EditTarget(&plan)
+	}
+	return standin.Start(plan)
+}
+
 func sitesOf(configuration *schemav1.Configuration, service *schemav1.Service) []*schemav1.DataCentre {
 	var sites []*schemav1.DataCentre
 	for _, dataCentre := range configuration.GetDataCentres() {
--- /dev/null
+++ b/pkg/dev/faults_test.go
@@ -0,0 +1,296 @@
+package dev
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"almondrock.example/almondrock/pkg/apierr"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/standin"
+)
+
+// served waits until callers got this many more answers, so that load runs on both sides of a fault.
+func (l *load) awaitServed(more int64) {
+	GinkgoHelper()
+	goal := l.served.Load() + more
+	Eventually(l.served.Load, within, often).Should(BeNumerically(">=", goal))
+}
+
+// underLoad runs a fault while callers send, waits until every key is served again, and checks the history.
+func underLoad(s *system, fault func(l *load)) *load {
+	GinkgoHelper()
+	l := s.startLoad()
+	stopped := false
+	stop := func() {
+		if !stopped {
+			stopped = true
+			l.stop()
+		}
+	}
+	defer stop()
+	l.awaitServed(100)
+	fault(l)
+	s.eventuallyServed()
+	l.awaitServed(100)
+	stop()
+	if found := check(l.operations, s.runs()); len(found) > 0 {
+		Fail(strings.Join(found[:min(len(found), 5)], "\n"))
+	}
+	return l
+}
+
+var _ = Describe("Deployment under faults", func() {
+	DescribeTable("keeps the invariants", func(fault func(s *system, l *load)) {
+		s := newSystem()
+		underLoad(s, func(l *load) { fault(s, l) })
+	},
+		Entry("I1: when an attached host is killed", func(s *system, l *load) {
+			s.kill(s.attachedHost("desk-2"))
+			l.awaitServed(50)
+		}),
+		Entry("I2: when a group leader is killed", func(s *system, l *load) {
+			s.kill(s.leaderOf("seoul-mapo"))
+			l.awaitServed(50)
+		}),
+		Entry("I11: when the control leader is killed", func(s *system, l *load) {
+			s.kill(s.controlLeader())
+			Expect(submit(s.live()[0], submission("after-loss", 1, nil)).GetVerdict()).
+				To(Equal(schemav1.SubmissionOutcome_VERDICT_ACCEPTED))
+			s.expectRevision(2)
+			l.awaitServed(50)
+		}),
+		Entry("I1: when a target is killed", func(s *system, l *load) {
+			s.targets[0].Kill()
+			l.awaitServed(50)
+		}),
+		Entry("I1: when a target freezes and returns", func(s *system, l *load) {
+			s.targets[0].SetFaults(func(f *standin.Faults) { f.Freeze = true })
+			s.eventuallyServed()
+			s.targets[0].SetFaults(func(f *standin.Faults) { f.Freeze = false })
+			l.awaitServed(100)
+		}),
+		Entry("I3: when a target restarts with a new boot id", func(s *system, l *load) {
+			s.targets[0].Restart()
+			l.awaitServed(100)
+		}),
+		Entry("I1: when a host is cut off from its targets", func(s *system, l *load) {
+			name := s.attachedHost("desk-1")
+			s.network.setCut(func(from, to string) bool { return from == name && strings.HasPrefix(to, "desk-") })
+			s.eventuallyServed()
+			s.network.setCut(nil)
+			l.awaitServed(50)
+		}),
+		Entry("I1: when an attached host is paused and wakes", func(s *system, l *load) {
+			name := s.attachedHost("desk-2")
+			s.setDown(name, true)
+			s.network.pause(name, true)
+			s.eventuallyServed()
+			l.awaitServed(50)
+			s.network.pause(name, false)
+			s.setDown(name, false)
+			l.awaitServed(100)
+		}),
+		Entry("I2: when a group leader is paused and wakes", func(s *system, l *load) {
+			name := s.leaderOf("busan-haeundae")
+			s.setDown(name, true)
+			s.network.pause(name, true)
+			s.eventuallyServed()
+			l.awaitServed(50)
+			s.network.pause(name, false)
+			s.setDown(name, false)
+			l.awaitServed(100)
+		}),
+		Entry("I11: when a silent control host returns", func(s *system, l *load) {
+			const name = "seoul-mapo-1"
+			s.network.setCut(func(from, to string) bool { return from == name || to == name })
+			s.setDown(name, true)
+			Expect(submit(s.live()[0], submission("while-silent", 1, nil)).GetRevision()).To(BeEquivalentTo(2))
+			s.expectRevision(2)
+			l.awaitServed(50)
+			s.network.setCut(nil)
+			s.setDown(name, false)
+			s.expectRevision(2)
+		}),
+		Entry("I2: when two of three hosts of a data centre are lost and one restarts", func(s *system, _ *load) {
+			s.kill("busan-seomyeon-1")
+			s.kill("busan-seomyeon-2")
+			s.restart("busan-seomyeon-1")
+			Eventually(func() uint64 { return s.generation("busan-seomyeon-3") }, within, often).Should(BeNumerically(">=", 2))
+		}),
+		Entry("I2: when a host is lost and another right after the repair", func(s *system, _ *load) {
+			for _, name := range []string{"busan-seomyeon-1", "busan-seomyeon-2"} {
+				s.kill(name)
+				s.eventuallyServed()
+				s.restart(name)
+				s.eventuallyServed()
+			}
+		}),
+		Entry("I10: when a host stops as planned", func(s *system, _ *load) {
+			name := s.attachedHost("desk-1")
+			s.setDown(name, true)
+			ctx, cancel := context.WithTimeout(context.Background(), within)
+			defer cancel()
+			Expect(s.host(name).Stop(ctx)).To(Succeed())
+		}),
+	)
+})
+
+func (s *system) generation(name string) uint64 {
+	for _, h := range s.status().GetHosts() {
+		if h.GetHost() == name {
+			return h.GetGeneration()
+		}
+	}
+	return 0
+}
+
+var _ = Describe("A partitioned data centre", func() {
+	It("I11 and I1: serves what it owns, is refused elsewhere as not-run, and converges", func() {
+		const away = "busan-haeundae"
+		s := newSystem()
+		inside := func(name string) bool {
+			return strings.HasPrefix(name, away) || name == "desk-3" || name == "desk-7"
+		}
+		l := underLoad(s, func(l *load) {
+			s.network.setCut(func(from, to string) bool { return inside(from) != inside(to) })
+			client := newClient()
+			defer client.CloseIdleConnections()
+			var owned *operation
+			Eventually(func() *operation { owned = s.keyServedAt(client, away+"-2", "desk-3", "desk-7"); return owned }, within, often).
+				ShouldNot(BeNil())
+			Eventually(func() *apierr.Refusal {
+				return send(client, s.host("seoul-mapo-2").CallerAddress(), owned).refusal
+			}, within, often).Should(HaveField("Code", apierr.OwnerUnreachable))
+			refused := send(client, s.host("seoul-mapo-2").CallerAddress(), owned).refusal
+			Expect(refused).To(HaveField("Ran", apierr.NotRun))
+			submitted := submit(s.host("seoul-mapo-2"), submission("during-partition", 1, nil))
+			Expect(submitted.GetVerdict()).To(Equal(schemav1.SubmissionOutcome_VERDICT_ACCEPTED))
+			Expect(send(client, s.host(away+"-2").CallerAddress(), owned).served()).To(BeTrue())
+			l.awaitServed(50)
+			s.network.setCut(nil)
+			s.expectRevision(2)
+		})
+		Expect(l.operations).NotTo(BeEmpty())
+	})
+})
+
+// keyServedAt finds a key that a host serves from one of the targets; nil when there is none.
+func (s *system) keyServedAt(client *http.Client, name string, targets ...string) *operation {
+	for i := range probes {
+		o := &operation{key: "probe-" + string(rune('a'+i)), method: http.MethodGet, path: "/probe"}
+		r := send(client, s.host(name).CallerAddress(), o)
+		for _, target := range targets {
+			if r.served() && r.answer.Target == target {
+				return o
+			}
+		}
+	}
+	return nil
+}
+
+var _ = Describe("Operators under load", func() {
+	It("I4: lose and double no request when a data centre goes out and returns", func() {
+		s := newSystem()
+		l := underLoad(s, func(l *load) {
+			out := submission("out", 1, nil, "data_centre: seoul-mapo\nout: true\n")
+			Expect(submit(s.live()[0], out).GetProblems()).To(BeEmpty())
+			s.expectRevision(2)
+			before := func() int { return len(s.targets[1].Runs()) + len(s.targets[5].Runs()) }
+			Eventually(func() bool {
+				count, seen := before(), l.served.Load()
+				for l.served.Load() < seen+50 {
+					time.Sleep(often)
+				}
+				return before() == count
+			}, within, often).Should(BeTrue())
+			Expect(submit(s.live()[0], submission("back", 2, nil)).GetProblems()).To(BeEmpty())
+			s.expectRevision(3)
+			count := before()
+			Eventually(before, within, often).Should(BeNumerically(">", count))
+		})
+		for _, o := range l.operations {
+			last := o.answers[len(o.answers)-1]
+			Expect(o.tenant != "" || last.served() || (last.refusal != nil && last.refusal.Ran == apierr.NotRun)).
+				To(BeTrue(), "%s %s", o.key, describe(o.answers))
+		}
+	})
+
+	It("I11: accept exactly one of two submissions under equal revision numbers, and repeat the answer to a resend", func() {
+		s := newSystem()
+		verdicts := make(chan schemav1.SubmissionOutcome_Verdict, 2)
+		for i, id := range []string{"one", "two"} {
+			go func() {
+				defer GinkgoRecover()
+				verdicts <- submit(s.hosts[i*5], submission(id, 1, nil)).GetVerdict()
+			}()
+		}
+		Expect([]schemav1.SubmissionOutcome_Verdict{<-verdicts, <-verdicts}).To(ConsistOf(
+			schemav1.SubmissionOutcome_VERDICT_ACCEPTED, schemav1.SubmissionOutcome_VERDICT_CONFLICT))
+		s.expectRevision(2)
+		one := submit(s.hosts[3], submission("one", 1, nil))
+		two := submit(s.hosts[7], submission("two", 1, nil))
+		Expect([]schemav1.SubmissionOutcome_Verdict{one.GetVerdict(), two.GetVerdict()}).To(ConsistOf(
+			schemav1.SubmissionOutcome_VERDICT_ACCEPTED, schemav1.SubmissionOutcome_VERDICT_CONFLICT))
+		s.expectRevision(2)
+	})
+
+	It("I2: keep the revision when control hosts restart after hundreds of submissions", func() {
+		s := newSystem()
+		const last = 301
+		for revision := uint64(1); revision < last; revision++ {
+			Expect(submit(s.hosts[3], submission("s"+string(rune('0'+revision)), revision, nil)).GetRevision()).
+				To(Equal(revision + 1))
+		}
+		members := []string{"seoul-gangnam-1", "seoul-mapo-1", "busan-haeundae-1"}
+		for _, name := range members {
+			s.kill(name)
+		}
+		for _, name := range members {
+			s.restart(name)
+		}
+		s.expectRevision(last)
+		Expect(submit(s.hosts[3], submission("stale", 1, nil)).GetVerdict()).
+			To(Equal(schemav1.SubmissionOutcome_VERDICT_CONFLICT))
+		next := submit(s.hosts[3], submission("next", last, nil))
+		Expect(next.GetRevision()).To(BeEquivalentTo(last + 1))
+		s.expectRevision(last + 1)
+		s.eventuallyServed()
+	})
+})
+
+var _ = Describe("A caller that lost the answer", func() {
+	It("I8: gets the stored answer and the request ran once", func() {
+		s := newSystem()
+		o := &operation{key: "resent", method: http.MethodPost, path: "/work/resent", body: "once", keyed: true}
+		client := newClient()
+		defer client.CloseIdleConnections()
+		s.sendAndLeave(o)
+		Eventually(func() bool {
+			return send(client, s.hosts[4].CallerAddress(), o).served()
+		}, within, often).Should(BeTrue())
+		again := send(client, s.hosts[8].CallerAddress(), o)
+		Expect(again.served()).To(BeTrue(), describe([]reply{again}))
+		o.answers = append(o.answers, again)
+		Expect(check([]*operation{o}, s.runs())).To(BeEmpty())
+	})
+})
+
+// sendAndLeave sends o and leaves before the answer: the targets hold it back.
+func (s *system) sendAndLeave(o *operation) {
+	GinkgoHelper()
+	for _, t := range s.targets {
+		t.SetFaults(func(f *standin.Faults) { f.LateAnswer = 500 * time.Millisecond })
+	}
+	impatient := newClient()
+	defer impatient.CloseIdleConnections()
+	impatient.Timeout = 200 * time.Millisecond
+	Expect(send(impatient, s.hosts[0].CallerAddress(), o).err).To(HaveOccurred())
+	for _, t := range s.targets {
+		t.SetFaults(func(f *standin.Faults) { f.LateAnswer = 0 })
+	}
+}
--- a/pkg/host/controlclient.go
+++ b/pkg/host/controlclient.go
@@ -118,6 +118,7 @@
 		return
 	}
 	for pause(ctx, pollInterval) {
+		h.options.Faults.wait(ctx)
 		if request := h.pollRequest(); request != nil {
 			h.poll(ctx, request)
 		}
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -97,7 +97,7 @@
 	h.metrics = metrics.New(h.settings.GetName(), h.settings.GetDataCentre())
 	h.link = h.newLink()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.client = rpc.NewClient(rpc.ClientOptions{})
+	h.client = rpc.NewClient(rpc.ClientOptions{Dial: options.Faults.dial()})
 	h.transport = newRaftTransport(h.ctx, h.client, &h.tasks)
 	return h, nil
 }
@@ -185,6 +185,7 @@
 		NewGate:  h.newGate,
 		Released: h.released,
 		Scope:    h.metrics.Scope,
+		Dial:     h.options.Faults.dial(),
 	})
 }
 
--- a/pkg/host/loops.go
+++ b/pkg/host/loops.go
@@ -12,6 +12,7 @@
 // leaderLoop runs the decisions of the group's leader.
 func (h *Host) leaderLoop(ctx context.Context) {
 	for pause(ctx, leaderStep) {
+		h.options.Faults.wait(ctx)
 		if g := h.group.Load(); g != nil {
 			stepContext, cancel := context.WithTimeout(ctx, callTimeout)
 			g.step(stepContext)
@@ -23,6 +24,7 @@
 // renewLoop renews the host lease with the leader of the group.
 func (h *Host) renewLoop(ctx context.Context) {
 	for pause(ctx, lease.RenewInterval) {
+		h.options.Faults.wait(ctx)
 		h.renew(ctx)
 	}
 }
@@ -76,6 +78,7 @@
 // syncLoop brings the attached targets in line with the table.
 func (h *Host) syncLoop(ctx context.Context) {
 	for {
+		h.options.Faults.wait(ctx)
 		g := h.group.Load()
 		if g == nil {
 			if !pause(ctx, lease.RenewInterval) {
--- a/pkg/host/options.go
+++ b/pkg/host/options.go
@@ -1,10 +1,12 @@
 package host
 
 import (
+	"context"
 	"net"
 
 	"almondrock.example/almondrock/pkg/control"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/target"
 )
 
 // Options configure one host.
@@ -20,6 +22,31 @@
 	// Handover makes a planned stop wait until other hosts have taken over the attachments. The dev command, which
 	// stops all hosts at once, has nobody to hand over to.
 	Handover bool
+	// Faults are injected by tests; nil elsewhere.
+	Faults *Faults
+}
+
+// Faults are what a test may do to one host.
+type Faults struct {
+	// Dial opens all connections to other hosts and to targets.
+	Dial target.Dial
+	// Wait runs before each round of the host's loops and blocks while the test pauses the host. Clocks go on.
+	Wait func(ctx context.Context)
+}
+
+// dial returns nil, which stands for the default, without faults.
+func (f *Faults) dial() target.Dial {
+	if f == nil {
+		return nil
+	}
+	return f.Dial
+}
+
+// wait returns at once without faults.
+func (f *Faults) wait(ctx context.Context) {
+	if f != nil && f.Wait != nil {
+		f.Wait(ctx)
+	}
 }
 
 // Listeners are the four listeners of a host.
--- a/pkg/host/proxy.go
+++ b/pkg/host/proxy.go
@@ -11,16 +11,20 @@
 
 // proxyOptions wires the data path to this host.
 func (h *Host) proxyOptions() proxy.Options {
+	store := records{host: h, attempts: &sync.Map{}}
 	return proxy.Options{
 		Directory: directory{h},
 		Targets:   h.manager,
-		Records:   records{host: h, attempts: &sync.Map{}},
-		Retries:   retries{retry.NewBudget(h.clock)},
-		Link:      linkAdapter{h.link},
-		Changed:   h.tableChanged,
-		Log:       h.decisions,
-		Scope:     h.metrics.Scope,
-		Clock:     h.clock,
+		Records:   store,
+		// One ledger for callers and for other hosts: a resend may come in either way (I8).
+		Ledger:  proxy.NewLedger(store),
+		Retries: retries{retry.NewBudget(h.clock)},
+		Link:    linkAdapter{h.link},
+		Changed: h.tableChanged,
+		Log:     h.decisions,
+		Scope:   h.metrics.Scope,
+		Clock:   h.clock,
+		Peers:   proxy.NewPeers(h.options.Faults.dial()),
 	}
 }
 
--- a/pkg/proxy/options.go
+++ b/pkg/proxy/options.go
@@ -143,7 +143,7 @@
 		o.Choose = chooseAny
 	}
 	if o.Peers == nil {
-		o.Peers = NewPeers()
+		o.Peers = NewPeers(nil)
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
@@ -179,7 +179,10 @@
 const maxIdlePeers = 256
 
 // NewPeers returns a pool for connections to other hosts. Ingress and forwarded handlers may share it.
-func NewPeers() *target.Pool { return target.NewPool(target.PoolOptions{MaxIdle: maxIdlePeers}) }
+// dial is nil outside tests.
+func NewPeers(dial target.Dial) *target.Pool {
+	return target.NewPool(target.PoolOptions{MaxIdle: maxIdlePeers, Dial: dial})
+}
 
 // NewServer returns a server with the time-outs and limits that callers and hosts get.
 func NewServer(handler http.Handler) *http.Server {
--- a/pkg/rpc/options.go
+++ b/pkg/rpc/options.go
@@ -1,7 +1,9 @@
 package rpc
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
 	"time"
 )
 
@@ -63,6 +65,8 @@
 	Silence        time.Duration
 	BackoffMin     time.Duration
 	BackoffMax     time.Duration
+	// Dial opens connections; a net.Dialer by default. Tests replace it to inject network faults.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Now is the clock of the back-off; time.Now by default.
 	Now func() time.Time
 }
@@ -93,6 +97,9 @@
 	orDefault(&o.Silence, DefaultSilence)
 	orDefault(&o.BackoffMin, DefaultBackoffMin)
 	orDefault(&o.BackoffMax, DefaultBackoffMax)
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/pkg/rpc/peer.go
+++ b/pkg/rpc/peer.go
@@ -174,11 +174,31 @@
 func (p *peer) connect() (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(p.client.ctx, p.client.options.DialTimeout)
 	defer cancel()
-	dialer := &net.Dialer{}
-	if p.client.options.TLS == nil {
-		return dialer.DialContext(ctx, "tcp", p.address)
+	conn, err := p.client.options.Dial(ctx, "tcp", p.address)
+	if err != nil || p.client.options.TLS == nil {
+		return conn, err
 	}
-	return (&tls.Dialer{NetDialer: dialer, Config: p.client.options.TLS}).DialContext(ctx, "tcp", p.address)
+	return p.handshake(ctx, conn)
+}
+
+// handshake takes the server's name from the address unless the options give one, as crypto/tls does for a dial.
+func (p *peer) handshake(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	config := p.client.options.TLS
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(p.address)
+		if err != nil {
+			conn.Close()
+			return nil, err
+		}
+		config = config.Clone()
+		config.ServerName = host
+	}
+	secure := tls.Client(conn, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return secure, nil
 }
 
 func (p *peer) close() {
--- a/pkg/target/attached.go
+++ b/pkg/target/attached.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -209,7 +208,9 @@
 	}
 	address := a.Record().GetAnnouncement().GetAddress()
 	a.manager.background(func(ctx context.Context) {
-		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		conn, err := a.manager.options.Dial.orDefault()(ctx, "tcp", address)
 		if err == nil {
 			conn.Close()
 		}
--- a/pkg/target/manager.go
+++ b/pkg/target/manager.go
@@ -27,6 +27,8 @@
 	Released func(target string, shard *schemav1.ShardRecord)
 	// Scope takes the metrics; none when nil.
 	Scope tally.Scope
+	// Dial opens connections to targets; a net.Dialer when nil.
+	Dial Dial
 }
 
 // Manager holds the targets attached to this host. It is safe for concurrent use.
@@ -108,7 +110,7 @@
 	}
 	announcement := record.GetAnnouncement()
 	a = &Attached{
-		manager: m, gate: m.options.NewGate(record), record: record, pool: newTargetPool(announcement),
+		manager: m, gate: m.options.NewGate(record), record: record, pool: newTargetPool(announcement, m.options.Dial),
 		units: map[unitID]*unit{}, works: map[*Work]struct{}{}, changed: make(chan struct{}),
 	}
 	now := m.options.Clock()
@@ -131,12 +133,13 @@
 	return max(1, pool), warm
 }
 
-func newTargetPool(announcement *schemav1.Announcement) *Pool {
+func newTargetPool(announcement *schemav1.Announcement, dial Dial) *Pool {
 	limit, _ := connectionPlan(announcement)
 	return NewPool(PoolOptions{
 		MaxConnections: limit,
 		// One idle connection more than slots carries grants.
 		MaxIdle: int(announcement.GetSlots()) + 1,
+		Dial:    dial,
 	})
 }
 
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -32,13 +32,26 @@
 	MaxConnections int
 	// MaxIdle limits idle connections per address.
 	MaxIdle int
+	// Dial opens connections; a net.Dialer when nil.
+	Dial Dial
+}
+
+// Dial opens a connection. Tests replace it to inject network faults.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// orDefault returns a dialer for the local network when d is nil.
+func (d Dial) orDefault() Dial {
+	if d != nil {
+		return d
+	}
+	return (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext
 }
 
 // Pool is a pool of HTTP/1.1 connections that knows of every request whether a byte of it was written. It is safe for
 // concurrent use.
 type Pool struct {
 	transport *http.Transport
-	dialer    net.Dialer
+	connect   Dial
 	open      atomic.Int64
 
 	mu     sync.Mutex
@@ -53,7 +66,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(options PoolOptions) *Pool {
-	p := &Pool{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}}
+	p := &Pool{connect: options.Dial.orDefault()}
 	p.transport = &http.Transport{
 		DialContext:            p.dial,
 		MaxConnsPerHost:        options.MaxConnections,
@@ -73,7 +86,7 @@
 	if conn := p.takeSpare(address); conn != nil {
 		return conn, nil
 	}
-	conn, err := p.dialer.DialContext(ctx, network, address)
+	conn, err := p.connect(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -84,7 +97,7 @@
 // Warm opens count connections to address ahead of the first requests.
 func (p *Pool) Warm(ctx context.Context, address string, count int) {
 	for range count {
-		conn, err := p.dialer.DialContext(ctx, "tcp", address)
+		conn, err := p.connect(ctx, "tcp", address)
 		if err != nil {
 			return
 		}
