--- a/cmd/almondrock/main.go
+++ b/cmd/almondrock/main.go
@@ -8,10 +8,13 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/cli/router"
+	"almondrock.example/almondrock/platform"
 )
 
 func main() {
-	err := router.Command().Execute()
+	command := router.Command()
+	command.AddCommand(platform.Command())
+	err := command.Execute()
 	klog.Flush()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "almondrock:", err)
--- /dev/null
+++ b/pkg/dispatch/core.go
@@ -0,0 +1,419 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Costs of distance, as time that a nearer target may take longer. Bytes between data centres and between regions are
+// paid for, and regions are a round trip of 24 ms apart.
+const (
+	otherDataCentreCost = 15 * time.Millisecond
+	otherRegionCost     = 250 * time.Millisecond
+	// large answers cost more to move.
+	largeFactor = 4
+	// failureCost is the time that a certain failure counts for.
+	failureCost = 600 * time.Millisecond
+	// tieShare is the random part of a score, so that hosts with the same view do not choose the same target.
+	tieShare = 0.08
+)
+
+// Limits of the load that one target gets.
+const (
+	// queueAtTarget is how many requests may wait at a target beyond its slots; more would wait longer there than a
+	// retry elsewhere takes.
+	queueAtTarget = 2
+	// defaultSlots is assumed for a target that does not announce its slots.
+	defaultSlots = 1
+	// coldBurst is the number of requests that a cold target may get at once from one host.
+	coldBurst = 1.0
+	// defaultBase is the expected time of work before the first answer.
+	defaultBase = 100 * time.Millisecond
+	// baseWeight is the weight of one answer in the usual time of work of a route.
+	baseWeight = 0.05
+)
+
+// Options configure a Core.
+type Options struct {
+	DataCentre string
+	Region     string
+	// Rand returns a number in [0, 1); math/rand by default.
+	Rand func() float64
+	// RetryRatio is the share of requests that may be sent again by all hosts together, and RetrySlack the number beyond
+	// it in RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Core chooses targets. It is safe for concurrent use.
+type Core struct {
+	options Options
+
+	mu       sync.Mutex
+	services map[string]*service
+	targets  map[string]*target
+	hashes   map[uint32]*target
+	out      map[string]bool
+	bases    map[string]time.Duration
+	// hosts is the number of entry hosts, hostsHere those of this data centre.
+	hosts, hostsHere int
+	peers            map[string]*peer
+	waiting          []*Waiter
+	sequence         uint64
+	// dirty is set while the load in flight differs from the last report.
+	dirty bool
+}
+
+type service struct {
+	targets  []*target
+	coldRate float64
+	budget   bucket
+}
+
+type peer struct {
+	start, sequence uint64
+	at              time.Duration
+	inFlight        map[*target]int
+}
+
+// New returns a core without targets.
+func New(options Options) *Core {
+	if options.Rand == nil {
+		options.Rand = rand.Float64
+	}
+	return &Core{
+		options: options, services: map[string]*service{}, targets: map[string]*target{}, hashes: map[uint32]*target{},
+		out: map[string]bool{}, bases: map[string]time.Duration{}, peers: map[string]*peer{}, hosts: 1, hostsHere: 1,
+	}
+}
+
+// Hash is the short form of a target's id in load reports.
+func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// SetTargets replaces the targets. What is known of those that stay is kept.
+func (c *Core) SetTargets(now time.Duration, targets []Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.targets
+	c.targets, c.hashes = map[string]*target{}, map[uint32]*target{}
+	for _, s := range c.services {
+		s.targets = nil
+	}
+	for _, next := range targets {
+		next.Slots = max(next.Slots, defaultSlots)
+		known, ok := old[next.ID]
+		if !ok || known.Started != next.Started {
+			known = &target{hash: Hash(next.ID), pace: 1}
+		}
+		if next.Cold && !known.Cold {
+			known.cold = bucket{level: coldBurst, at: now, used: true}
+		}
+		known.Target = next
+		c.targets[next.ID] = known
+		c.hashes[known.hash] = known
+		s := c.service(next.Service)
+		s.targets = append(s.targets, known)
+	}
+	c.dirty = true
+}
+
+// SetColdRates sets the request rate of cold targets by service, in requests per second for all hosts together.
+func (c *Core) SetColdRates(rates map[string]float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, rate := range rates {
+		c.service(name).coldRate = rate
+	}
+}
+
+// SetEvacuated sets the data centres whose targets get nothing.
+func (c *Core) SetEvacuated(dataCentres []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out = map[string]bool{}
+	for _, dataCentre := range dataCentres {
+		c.out[dataCentre] = true
+	}
+}
+
+// SetHosts sets the number of entry hosts in all and in this data centre, which share rates between them.
+func (c *Core) SetHosts(all, here int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts, c.hostsHere = max(1, all), max(1, here)
+}
+
+func (c *Core) service(name string) *service {
+	s, ok := c.services[name]
+	if !ok {
+		s = &service{}
+		c.services[name] = s
+	}
+	return s
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Service string
+	// Route names the kind of work, whose usual duration is learned.
+	Route string
+	// Regions are the only allowed ones; empty allows all.
+	Regions []string
+	// Large is set for requests with large answers.
+	Large bool
+	// Tried are targets that are not to be chosen again.
+	Tried []string
+	// Owner is set for a key of an exclusive service and names the only possible target.
+	Owner string
+	// Rank orders waiting requests; 0 goes first.
+	Rank int
+	// Left is the time until the request is over, Objective the time until its answer loses value.
+	Left, Objective time.Duration
+}
+
+// Choice is a chosen target.
+type Choice struct {
+	Target
+	// Expected is the predicted time until the answer.
+	Expected time.Duration
+	// InFlight is what was in flight at the target from all known hosts.
+	InFlight int
+	// ReportAge is the age of the target's own load report; negative when there is none.
+	ReportAge time.Duration
+
+	target *target
+	base   time.Duration
+	route  string
+	ahead  int
+}
+
+// Reason tells why no target could be chosen.
+type Reason string
+
+// Reasons.
+const (
+	// NoTarget: the service has no target that may run the request.
+	NoTarget Reason = "no-target"
+	// Busy: all targets have as many requests as they should.
+	Busy Reason = "busy"
+	// Unreachable: all targets are in back-off after failures.
+	Unreachable Reason = "unreachable"
+	// ColdOnly: only cold targets are left, which get all that they tolerate.
+	ColdOnly Reason = "cold"
+	// Late: no target would answer in time.
+	Late Reason = "late"
+)
+
+// Choose chooses a target and counts the request as in flight there. Finish must be called for the choice.
+func (c *Core) Choose(now time.Duration, r *Request) (*Choice, Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.choose(now, r)
+}
+
+func (c *Core) choose(now time.Duration, r *Request) (*Choice, Reason) {
+	s := c.service(r.Service)
+	base := c.base(r.Route)
+	var best *target
+	bestScore, bestCost := 0.0, time.Duration(0)
+	reason := NoTarget
+	for _, t := range s.targets {
+		if why := c.unusable(now, s, t, r, base); why != "" {
+			reason = worse(reason, why)
+			continue
+		}
+		expected := t.predict(now, base)
+		cost := c.distance(t, r.Large)
+		score := float64(expected+cost) + t.failureShare(now)*float64(failureCost)
+		score *= 1 + tieShare*c.options.Rand()
+		if best == nil || score < bestScore {
+			best, bestScore, bestCost = t, score, expected
+		}
+	}
+	if best == nil {
+		return nil, reason
+	}
+	if best.Cold && !best.cold.take(now, c.coldShare(s, r.Owner != ""), coldBurst) {
+		return nil, ColdOnly
+	}
+	choice := &Choice{
+		Target: best.Target, Expected: bestCost, InFlight: best.load(), ReportAge: -1,
+		target: best, base: base, route: r.Route, ahead: max(0, best.load()+1-best.Slots),
+	}
+	if best.report.Slots > 0 {
+		choice.ReportAge = now - best.reportAt
+	}
+	best.own++
+	c.dirty = true
+	return choice, ""
+}
+
+// worse keeps the reason that gives the best hope.
+func worse(known, next Reason) Reason {
+	order := []Reason{NoTarget, Unreachable, ColdOnly, Late, Busy}
+	if slices.Index(order, next) > slices.Index(order, known) {
+		return next
+	}
+	return known
+}
+
+func (c *Core) unusable(now time.Duration, s *service, t *target, r *Request, base time.Duration) Reason {
+	switch {
+	case r.Owner != "" && t.ID != r.Owner,
+		t.Draining || c.out[t.DataCentre],
+		len(r.Regions) > 0 && !slices.Contains(r.Regions, t.Region),
+		slices.Contains(r.Tried, t.ID):
+		return NoTarget
+	case now < t.downUntil, t.broken > 0 && t.own > 0:
+		// After broken connections one request at a time finds out whether the target is back.
+		return Unreachable
+	case t.Cold && t.DataCentre != c.options.DataCentre && r.Owner == "":
+		return ColdOnly
+	case t.Cold && !t.hasColdToken(now, c.coldShare(s, r.Owner != "")):
+		return ColdOnly
+	case t.load() >= t.Slots+queueAtTarget:
+		return Busy
+	case t.load() >= t.Slots && t.predict(now, base) > r.Left:
+		return Late
+	}
+	return ""
+}
+
+func (t *target) hasColdToken(now time.Duration, rate float64) bool {
+	t.cold.fill(now, rate, coldBurst)
+	return t.cold.level >= 1
+}
+
+// coldShare is this host's part of the rate of a cold target. Shared targets get requests only from hosts of their own
+// data centre while they are cold; owners of keys get them from all.
+func (c *Core) coldShare(s *service, owner bool) float64 {
+	if owner {
+		return s.coldRate / float64(c.hosts)
+	}
+	return s.coldRate / float64(c.hostsHere)
+}
+
+func (c *Core) distance(t *target, large bool) time.Duration {
+	cost := time.Duration(0)
+	switch {
+	case t.Region != c.options.Region:
+		cost = otherRegionCost
+	case t.DataCentre != c.options.DataCentre:
+		cost = otherDataCentreCost
+	}
+	if large {
+		cost *= largeFactor
+	}
+	return cost
+}
+
+func (c *Core) base(route string) time.Duration {
+	if base, ok := c.bases[route]; ok {
+		return base
+	}
+	return defaultBase
+}
+
+// Result is what an attempt showed.
+type Result struct {
+	Outcome Outcome
+	// Took is the time from sending the request until the answer.
+	Took time.Duration
+	// Report is the target's load report; nil when there was none.
+	Report *Load
+}
+
+// Finish ends the attempt of a choice.
+func (c *Core) Finish(now time.Duration, choice *Choice, result Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := choice.target
+	t.own--
+	c.dirty = true
+	if result.Report != nil {
+		t.report, t.reportAt = *result.Report, now
+	}
+	switch result.Outcome {
+	case Answered:
+		t.broken, t.downUntil = 0, 0
+		t.noteFailure(now, 0)
+		c.learn(choice, t, result.Took)
+	case Failed, Shed:
+		t.broken = 0
+		t.noteFailure(now, 1)
+	case Silent:
+		t.noteFailure(now, 1)
+		c.learn(choice, t, result.Took)
+	case Broken:
+		t.noteFailure(now, 1)
+		t.noteBroken(now)
+	case Replaced:
+		t.downUntil = now + replacedFor
+	case Cancelled:
+	}
+}
+
+// learn takes the time of an answer into the pace of the target and the usual time of the route.
+func (c *Core) learn(choice *Choice, t *target, took time.Duration) {
+	rounds := 1 + float64(choice.ahead)/float64(max(1, t.Slots))
+	reported := 1.0
+	if t.report.Pace > 0 {
+		reported = t.report.Pace
+	}
+	// Half of the reported pace is taken as the pace during the work, which began earlier than the report.
+	alone := float64(took) / rounds / (1 + (reported-1)/2)
+	pace := min(max(alone/float64(choice.base), minPace), maxPace)
+	t.pace += (pace - t.pace) * paceWeight
+	base := c.base(choice.route)
+	usual := alone / max(t.pace, minPace)
+	c.bases[choice.route] = base + time.Duration((usual-float64(base))*baseWeight)
+}
+
+// NoteRequest counts a new request of a service, from which further sends are paid.
+func (c *Core) NoteRequest(now time.Duration, name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.service(name)
+	s.budget.fill(now, 0, c.budgetSize())
+	s.budget.level = min(c.budgetSize(), s.budget.level+c.options.RetryRatio*budgetShare)
+}
+
+// budgetShare is the part of the budget for further sends that is used; the rest covers hosts that count differently.
+const budgetShare = 0.6
+
+// budgetSize is this host's part of the slack. The smallest size lets a host with few requests send one again.
+func (c *Core) budgetSize() float64 {
+	return max(1, c.options.RetrySlack*budgetShare/float64(c.hosts))
+}
+
+// MayResend takes one further send of a request from the budget of the service.
+func (c *Core) MayResend(now time.Duration, name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.service(name).budget.take(now, 0, c.budgetSize())
+}
+
+// RetryAfter is when a request that was refused for reason may find room.
+func (c *Core) RetryAfter(route string, reason Reason) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch reason {
+	case Busy, Late:
+		return min(max(c.base(route), retryAfterLeast), retryAfterMost)
+	case ColdOnly, Unreachable:
+		return backOffFirst * 2
+	default:
+		return retryAfterMost
+	}
+}
+
+// Bounds of the time that a refused caller is told to wait.
+const (
+	retryAfterLeast = 100 * time.Millisecond
+	retryAfterMost  = time.Second
+)
--- /dev/null
+++ b/pkg/entry/exchange.go
@@ -0,0 +1,347 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"almondrock.example/almondrock/pkg/dispatch"
+	"almondrock.example/almondrock/pkg/routes"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/upstream"
+)
+
+const (
+	// queueShare is the part of its objective that a request waits for a target here. Longer waits end in late answers,
+	// and a refused caller can still come back in time.
+	queueShare = 8
+	// moveShare is the part of its objective that a request waits for keys that are on their way to their next owner.
+	moveShare = 3
+	// keyPause is the pause before a target is asked again that does not hold a key yet.
+	keyPause = 40 * time.Millisecond
+	// maxUnsent bounds tries of targets that could not be connected to, which cost nothing but time.
+	maxUnsent = 4
+	// answerSlack is how long after a request's end the target's own answer may arrive.
+	answerSlack = 40 * time.Millisecond
+	// leastTime is the time that a further attempt must have left to be worth sending.
+	leastTime = 50 * time.Millisecond
+	// wholeAnswer is the size in bytes up to which an answer is read to its end before it is passed on, so that one that
+	// breaks off can be replaced by another.
+	wholeAnswer = 1 << 20
+)
+
+// exchange is one request of a caller.
+type exchange struct {
+	host    *Host
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	route   *routes.Route
+	service string
+	// exclusive is set for a request to the owner of key.
+	exclusive bool
+	key       uint32
+	body      body
+	started   time.Duration
+	deadline  time.Duration
+	tried     []string
+	// sends counts attempts that reached a target; unsent those that certainly did not.
+	sends, unsent int
+	// mayHaveRun is set once an attempt ended without certainty. No refusal may then say that the request did not run.
+	mayHaveRun bool
+	// failure is the last answer of a target that was held back for another attempt.
+	failure *answer
+	target  string
+	// viewVersion and viewAge are what the last choice was based on.
+	viewVersion uint64
+}
+
+func (x *exchange) left() time.Duration { return x.deadline - x.host.now() }
+
+// run sends the request until it has an answer, and returns the result for the log.
+func (x *exchange) run(ctx context.Context) string {
+	x.host.core.NoteRequest(x.host.now(), x.service)
+	for {
+		choice, reason := x.choose(ctx)
+		if ctx.Err() != nil {
+			if choice != nil {
+				x.finish(choice, dispatch.Result{Outcome: dispatch.Cancelled})
+			}
+			return "caller-left"
+		}
+		if choice == nil {
+			return x.giveUp(reason)
+		}
+		result, again := x.attempt(ctx, choice)
+		if !again {
+			return result
+		}
+	}
+}
+
+func (x *exchange) finish(choice *dispatch.Choice, result dispatch.Result) {
+	now := x.host.now()
+	x.host.core.Finish(now, choice, result)
+	x.host.core.Serve(now)
+	x.host.noteLoad()
+}
+
+// choose finds a target, waiting for a while if all are busy.
+func (x *exchange) choose(ctx context.Context) (*dispatch.Choice, dispatch.Reason) {
+	request := &dispatch.Request{
+		Service: x.service, Route: x.route.Name + x.service, Regions: x.route.HomeRegions, Large: x.route.Kind == routes.Download,
+		Tried: x.tried, Rank: x.route.Rank, Left: x.left(), Objective: x.route.Objective,
+	}
+	if x.exclusive {
+		owner, reason := x.awaitOwner(ctx)
+		if owner == "" {
+			return nil, reason
+		}
+		request.Owner, request.Tried = owner, nil
+	}
+	x.viewVersion = x.host.current().version
+	choice, reason := x.host.core.Choose(x.host.now(), request)
+	if choice != nil {
+		x.host.noteLoad()
+		return choice, ""
+	}
+	if reason != dispatch.Busy && reason != dispatch.ColdOnly && reason != dispatch.Late {
+		return nil, reason
+	}
+	patience := x.started + x.route.Objective/queueShare - x.host.now()
+	if patience <= 0 {
+		return nil, reason
+	}
+	waiter := x.host.core.Wait(request)
+	timer := time.NewTimer(min(patience, x.left()))
+	defer timer.Stop()
+	select {
+	case choice := <-waiter.Ready:
+		x.host.noteLoad()
+		return choice, ""
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return x.host.core.Leave(waiter), reason
+}
+
+// awaitOwner returns the owner of the key, waiting for a while if the key is on its way.
+func (x *exchange) awaitOwner(ctx context.Context) (string, dispatch.Reason) {
+	limit := x.started + x.route.Objective/moveShare
+	for {
+		changed := x.host.changed.wait()
+		v := x.host.current()
+		r, ok := v.owner(x.service, x.key)
+		if !ok {
+			return "", dispatch.NoTarget
+		}
+		owner := v.targets[r.GetOwner()]
+		usable := owner != nil && owner.GetStartedUnixMs() == r.GetOwnerStartedUnixMs() &&
+			owner.GetLife() == schemav1.Life_LIFE_READY && !slices.Contains(v.evacuated, owner.GetDataCentre())
+		if usable && r.GetState() == schemav1.RangeState_RANGE_STATE_ACTIVE {
+			return r.GetOwner(), ""
+		}
+		patience := limit - x.host.now()
+		if patience <= 0 {
+			return "", dispatch.NoTarget
+		}
+		select {
+		case <-changed:
+		case <-time.After(patience):
+		case <-ctx.Done():
+			return "", dispatch.NoTarget
+		}
+	}
+}
+
+// attempt sends the request to one target. again tells to choose another one.
+func (x *exchange) attempt(ctx context.Context, choice *dispatch.Choice) (result string, again bool) {
+	x.target = choice.ID
+	sent := x.host.now()
+	response, err := x.host.upstream.Send(ctx, x.request(choice))
+	if err != nil {
+		return x.failedSend(ctx, choice, sent, err)
+	}
+	x.sends++
+	a := &answer{response: response}
+	outcome := dispatch.Result{Outcome: dispatch.Answered, Report: x.report(response)}
+	notRun := response.Header.Get(x.host.options.Protocol.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+	if err := a.read(x.host.options.Protocol, notRun); err != nil {
+		response.Abort()
+		outcome.Outcome = dispatch.Failed
+		if ctx.Err() != nil {
+			outcome.Outcome = dispatch.Cancelled
+		}
+		x.finish(choice, outcome)
+		if !notRun {
+			x.mayHaveRun = true
+		}
+		klog.InfoS("answer not usable", "request", x.id, "target", choice.ID, "err", err)
+		return x.again(choice, "bad-answer")
+	}
+	outcome.Took = x.host.now() - sent
+	switch {
+	case notRun:
+		return x.notRun(ctx, choice, a, outcome)
+	case response.StatusCode >= http.StatusInternalServerError:
+		outcome.Outcome = dispatch.Failed
+		x.finish(choice, outcome)
+		x.mayHaveRun = true
+		x.failure = a
+		if x.route.Kind.Repeatable() && response.StatusCode != http.StatusGatewayTimeout && x.mayResend(choice) {
+			return "", true
+		}
+		return a.deliver(x), false
+	}
+	if a.whole {
+		x.finish(choice, outcome)
+		return a.deliver(x), false
+	}
+	// A long answer occupies the target until its end.
+	delivered := a.deliver(x)
+	x.finish(choice, outcome)
+	return delivered, false
+}
+
+// notRun handles an answer that says that the target did not run the request.
+func (x *exchange) notRun(ctx context.Context, choice *dispatch.Choice, a *answer, outcome dispatch.Result) (string, bool) {
+	misdirected := a.response.StatusCode == http.StatusMisdirectedRequest
+	outcome.Outcome = dispatch.Shed
+	if misdirected && !x.exclusive {
+		outcome.Outcome = dispatch.Replaced
+	}
+	x.finish(choice, outcome)
+	if !x.mayResend(choice) {
+		return x.giveUp(dispatch.Busy), false
+	}
+	if misdirected && x.exclusive {
+		pause(ctx, keyPause)
+	}
+	return "", true
+}
+
+// failedSend handles an attempt without an answer.
+func (x *exchange) failedSend(ctx context.Context, choice *dispatch.Choice, sent time.Duration, err error) (string, bool) {
+	outcome := dispatch.Result{Outcome: dispatch.Broken, Took: x.host.now() - sent}
+	var failed *upstream.Error
+	if !errors.As(err, &failed) {
+		failed = &upstream.Error{Stage: upstream.Sent, Cause: err}
+	}
+	switch {
+	case ctx.Err() != nil:
+		outcome.Outcome = dispatch.Cancelled
+	case failed.Stage == upstream.Garbled:
+		outcome.Outcome = dispatch.Failed
+	case failed.Stage == upstream.Sent && failed.Timeout():
+		outcome.Outcome = dispatch.Silent
+	case failed.Stage == upstream.Sent && failed.Reused:
+		// The target may have closed an idle connection, which says nothing about its health.
+		outcome.Outcome = dispatch.Failed
+	}
+	x.finish(choice, outcome)
+	klog.InfoS("attempt failed", "request", x.id, "target", choice.ID, "address", choice.Address, "stage", failed.Stage,
+		"reused", failed.Reused, "after", outcome.Took, "err", failed.Cause)
+	if ctx.Err() != nil {
+		x.mayHaveRun = x.mayHaveRun || failed.Stage != upstream.NotSent
+		return "caller-left", false
+	}
+	if failed.Stage == upstream.NotSent {
+		x.unsent++
+		if !x.exclusive {
+			x.tried = append(x.tried, choice.ID)
+		}
+		if x.unsent < maxUnsent && x.left() > leastTime {
+			return "", true
+		}
+		return x.giveUp(dispatch.Unreachable), false
+	}
+	x.sends++
+	x.mayHaveRun = true
+	return x.again(choice, "no-answer")
+}
+
+// again decides whether a request that may have run is sent once more.
+func (x *exchange) again(choice *dispatch.Choice, failure string) (string, bool) {
+	if x.route.Kind.Repeatable() && x.mayResend(choice) {
+		return "", true
+	}
+	if x.left() <= 0 {
+		return x.fail(http.StatusGatewayTimeout, "deadline"), false
+	}
+	return x.fail(http.StatusBadGateway, failure), false
+}
+
+// mayResend decides whether the request may go to one more target, and takes it from the budget.
+func (x *exchange) mayResend(choice *dispatch.Choice) bool {
+	if x.sends >= max(1, x.route.MaxTargets) || x.left() <= leastTime || x.body.spent {
+		return false
+	}
+	if !x.host.core.MayResend(x.host.now(), x.service) {
+		return false
+	}
+	if !x.exclusive {
+		x.tried = append(x.tried, choice.ID)
+	}
+	return true
+}
+
+// giveUp ends a request for which there is no target.
+func (x *exchange) giveUp(reason dispatch.Reason) string {
+	switch {
+	case x.failure != nil:
+		return x.failure.deliver(x)
+	case x.mayHaveRun && x.left() <= 0:
+		return x.fail(http.StatusGatewayTimeout, "deadline")
+	case x.mayHaveRun:
+		return x.fail(http.StatusBadGateway, string(reason))
+	}
+	return x.refuse(reason, x.host.core.RetryAfter(x.route.Name+x.service, reason))
+}
+
+// refuse answers that the request did not run and when to come back.
+func (x *exchange) refuse(reason dispatch.Reason, after time.Duration) string {
+	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	return x.fail(http.StatusServiceUnavailable, string(reason))
+}
+
+// fail answers with a status of this host's own.
+func (x *exchange) fail(status int, code string) string {
+	return fail(x.w, x.host.options.Protocol, x.id, status, code)
+}
+
+func (x *exchange) report(response *upstream.Response) *dispatch.Load {
+	report, ok := x.host.options.Protocol.ParseLoad(response.Header.Get(x.host.options.Protocol.Load))
+	if !ok {
+		return nil
+	}
+	return &report
+}
+
+// request makes the request for one target.
+func (x *exchange) request(choice *dispatch.Choice) *upstream.Request {
+	p := x.host.options.Protocol
+	header := endToEnd(x.r.Header)
+	header[p.RequestID] = []string{x.id}
+	header[p.TimeLeft] = []string{strconv.FormatInt(max(1, x.left().Milliseconds()), 10)}
+	header[p.Target] = []string{choice.ID}
+	return &upstream.Request{
+		Pool:    choice.ID + " " + strconv.FormatInt(choice.Started, 10) + " " + choice.Address,
+		Address: choice.Address, Method: x.r.Method, URI: requestURI(x.r), Host: x.r.Host, Header: header,
+		Body: x.body.start, More: x.body.take(), Length: x.body.length, ID: x.id,
+		Deadline: time.Now().Add(x.left() + answerSlack),
+	}
+}
+
+// requestURI is the request target as the caller sent it, so that the target sees the same bytes.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
--- /dev/null
+++ b/pkg/grants/keeper.go
@@ -0,0 +1,386 @@
+package grants
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"almondrock.example/almondrock/pkg/registry"
+	"almondrock.example/almondrock/pkg/routes"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// Timing of grants.
+const (
+	// Hold outlasts an election and a renewal that fails once, and is short enough that the keys of a lost target are
+	// served again within seconds.
+	Hold = 3 * time.Second
+	// renewEvery gives a renewal two further tries before the hold ends.
+	renewEvery = Hold / 3
+	// clockError is by how much a target's clock may run slow.
+	clockError = 0.02
+	// margin covers the way of a call that was given up, whose bytes may still arrive.
+	margin = 500 * time.Millisecond
+	// callTimeout bounds a grant; it is over the round trip between regions with one retransmission.
+	callTimeout = 600 * time.Millisecond
+	// releaseTimeout bounds a release, which is answered when the work on the keys has ended.
+	releaseTimeout = 2500 * time.Millisecond
+	// retryPause is the time between tries of a grant that failed.
+	retryPause = 150 * time.Millisecond
+	// tryFor is how long a renewal is tried again before the keys of a silent owner are left to expire.
+	tryFor = 700 * time.Millisecond
+	// settle is how long the registrations of a service must have been unchanged before its keys are first divided.
+	settle = 800 * time.Millisecond
+	// rebalancePause is the time between moves of balance.
+	rebalancePause = 700 * time.Millisecond
+	// joinPause is how long a target must have been known and warm before it gets keys from others.
+	joinPause = time.Second
+)
+
+// certain is the time after the end of a call at which the grant that it may have given is over.
+const certain = Hold + time.Duration(float64(Hold)*clockError) + margin
+
+// Grant is one call to a target.
+type Grant struct {
+	Address     string
+	Target      string
+	First, Last uint32
+	Fence       uint64
+	Hold        time.Duration
+	// Handover is what the last owner gave; empty when there is none.
+	Handover string
+}
+
+// Granter calls targets.
+type Granter interface {
+	// Grant gives or renews keys. It fails with ErrFenced if the target knows a higher fence.
+	Grant(ctx context.Context, g *Grant) error
+	// Release ends a grant and returns the handover once the work on the keys has ended.
+	Release(ctx context.Context, g *Grant) (handover string, err error)
+}
+
+// Log proposes commands to the registry.
+type Log interface {
+	Propose(ctx context.Context, command *schemav1.RegistryCommand) (*schemav1.RegistryResult, error)
+	// Leads reports whether this host may act as the leader right now.
+	Leads() bool
+}
+
+// Keeper keeps the grants of all exclusive services while its host leads. Step is called from one goroutine.
+type Keeper struct {
+	state   *registry.State
+	log     Log
+	granter Granter
+	clock   func() time.Duration
+	tasks   sync.WaitGroup
+
+	mu    sync.Mutex
+	holds map[holdKey]*hold
+	// seen is when each target was first seen fit to own keys.
+	seen      map[string]time.Duration
+	changedAt map[string]time.Duration
+	members   map[string]int
+	movedAt   map[string]time.Duration
+}
+
+type holdKey struct {
+	service string
+	first   uint32
+}
+
+// hold is what the leader knows of one grant.
+type hold struct {
+	fence uint64
+	busy  bool
+	// next is when the next call is due, end when the grant is certainly over.
+	next, end time.Duration
+	handover  string
+	// failing is set after a failed call until one succeeds.
+	failing      bool
+	failingSince time.Duration
+}
+
+// New returns a keeper for a host that has just become the leader. The last leader may have renewed every grant just
+// before, so each is taken as held for a full time from now.
+func New(state *registry.State, log Log, granter Granter, clock func() time.Duration) *Keeper {
+	return &Keeper{
+		state: state, log: log, granter: granter, clock: clock, holds: map[holdKey]*hold{}, seen: map[string]time.Duration{},
+		changedAt: map[string]time.Duration{}, members: map[string]int{}, movedAt: map[string]time.Duration{},
+	}
+}
+
+// Wait returns when all calls have ended. ctx of Step must have ended.
+func (k *Keeper) Wait() { k.tasks.Wait() }
+
+// Step starts the calls that are due. services are those of the configuration in force.
+func (k *Keeper) Step(ctx context.Context, services map[string]routes.Service) {
+	if !k.log.Leads() {
+		return
+	}
+	byService := map[string][]*schemav1.Registration{}
+	for _, target := range k.state.Targets() {
+		byService[target.GetService()] = append(byService[target.GetService()], target)
+	}
+	for name, service := range services {
+		if !service.Exclusive {
+			continue
+		}
+		candidates := k.candidates(name, byService[name])
+		table := k.state.Keys(name)
+		if table == nil {
+			k.first(ctx, name, candidates)
+			continue
+		}
+		for _, r := range table.GetRanges() {
+			k.stepRange(ctx, table, r, candidates)
+		}
+		k.rebalance(ctx, table, candidates)
+	}
+}
+
+// candidates are the ready targets of a service. Those that are cold or new are unfit.
+func (k *Keeper) candidates(service string, targets []*schemav1.Registration) []Candidate {
+	now := k.clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var candidates []Candidate
+	for _, target := range targets {
+		if target.GetLife() != schemav1.Life_LIFE_READY || k.state.Evacuated(target.GetDataCentre()) {
+			delete(k.seen, target.GetId())
+			continue
+		}
+		since, ok := k.seen[target.GetId()]
+		if !ok || target.GetCold() {
+			since = now
+			k.seen[target.GetId()] = now
+		}
+		candidates = append(candidates, Candidate{Registration: target, Unfit: target.GetCold() || now-since < joinPause})
+	}
+	if k.members[service] != len(candidates) {
+		k.members[service], k.changedAt[service] = len(candidates), now
+	}
+	return candidates
+}
+
+func (k *Keeper) first(ctx context.Context, service string, candidates []Candidate) {
+	k.mu.Lock()
+	settled := k.clock()-k.changedAt[service] >= settle
+	k.mu.Unlock()
+	if len(candidates) == 0 || !settled {
+		return
+	}
+	owners := make([]*schemav1.Registration, 0, len(candidates))
+	for _, c := range candidates {
+		owners = append(owners, c.Registration)
+	}
+	command := &schemav1.RegistryCommand{Keys: &schemav1.KeyTable{Service: service, Ranges: Split(owners)}}
+	if _, err := k.log.Propose(ctx, command); err != nil {
+		klog.ErrorS(err, "first key ranges not decided", "service", service)
+		return
+	}
+	klog.InfoS("key ranges divided", "service", service, "owners", len(owners))
+}
+
+// claim returns the hold of a range if a call is due, and marks it as busy.
+func (k *Keeper) claim(service string, r *schemav1.KeyRange) *hold {
+	now := k.clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	key := holdKey{service, r.GetFirst()}
+	h, ok := k.holds[key]
+	if !ok {
+		h = &hold{fence: r.GetFence(), end: now + certain, next: now}
+		k.holds[key] = h
+	}
+	if h.fence != r.GetFence() {
+		// A new fence was committed here; nothing has been granted under it yet.
+		h.fence, h.next, h.failing = r.GetFence(), now, false
+		h.end = now
+	}
+	if h.busy || now < h.next {
+		return nil
+	}
+	h.busy = true
+	return h
+}
+
+func (k *Keeper) done(h *hold, pause time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h.busy = false
+	h.next = k.clock() + pause
+}
+
+func (k *Keeper) stepRange(ctx context.Context, table *schemav1.KeyTable, r *schemav1.KeyRange, candidates []Candidate) {
+	h := k.claim(table.GetService(), r)
+	if h == nil {
+		return
+	}
+	k.tasks.Go(func() { k.done(h, k.act(ctx, table, r, h, candidates)) })
+}
+
+// act makes the one call that a range needs now, and returns the time until the next.
+func (k *Keeper) act(ctx context.Context, table *schemav1.KeyTable, r *schemav1.KeyRange, h *hold, candidates []Candidate) time.Duration {
+	service := table.GetService()
+	owner, _ := k.state.Target(r.GetOwner())
+	current := owner != nil && owner.GetLife() != schemav1.Life_LIFE_GONE && owner.GetStartedUnixMs() == r.GetOwnerStartedUnixMs()
+	restarted := owner != nil && owner.GetStartedUnixMs() > r.GetOwnerStartedUnixMs()
+	fit := current && slices.ContainsFunc(candidates, func(c Candidate) bool { return c.GetId() == r.GetOwner() })
+	now := k.clock()
+	switch {
+	case r.GetOwner() == "":
+		return k.assign(ctx, service, r, table, candidates, "", "owner missing")
+	case restarted:
+		// The start that held the keys is over.
+		return k.assign(ctx, service, r, table, candidates, "", "owner restarted")
+	case r.GetState() == schemav1.RangeState_RANGE_STATE_RELEASING, !fit && current:
+		return k.release(ctx, service, r, h, table, candidates, owner)
+	case !current:
+		// An ended target may work for a while yet, and holds its keys as long.
+		if now >= h.end {
+			return k.assign(ctx, service, r, table, candidates, "", "owner ended")
+		}
+		if owner != nil {
+			return k.release(ctx, service, r, h, table, candidates, owner)
+		}
+		return retryPause
+	default:
+		return k.renew(ctx, service, r, h, table, candidates, owner)
+	}
+}
+
+func (k *Keeper) call(owner *schemav1.Registration, r *schemav1.KeyRange) *Grant {
+	return &Grant{
+		Address: owner.GetAddress(), Target: owner.GetId(), First: r.GetFirst(), Last: r.GetLast(), Fence: r.GetFence(), Hold: Hold,
+	}
+}
+
+func (k *Keeper) renew(
+	ctx context.Context, service string, r *schemav1.KeyRange, h *hold, table *schemav1.KeyTable, candidates []Candidate,
+	owner *schemav1.Registration,
+) time.Duration {
+	if h.failing && k.clock()-h.failingSince >= tryFor && Owner(table.GetRanges(), candidates, r.GetOwner()) != nil {
+		// Each further call could extend the hold, and so put off the time at which the keys can move.
+		if k.clock() < h.end {
+			return min(retryPause, h.end-k.clock())
+		}
+		return k.assign(ctx, service, r, table, candidates, r.GetOwner(), "owner silent until its hold ended")
+	}
+	g := k.call(owner, r)
+	g.Handover = h.handover
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if !k.log.Leads() {
+		return retryPause
+	}
+	err := k.granter.Grant(callCtx, g)
+	if err == nil {
+		h.end, h.failing, h.handover = k.clock()+certain, false, ""
+		if r.GetState() != schemav1.RangeState_RANGE_STATE_GRANTING {
+			return renewEvery
+		}
+		k.setState(ctx, service, r, schemav1.RangeState_RANGE_STATE_ACTIVE)
+		return renewEvery / 2
+	}
+	klog.InfoS("grant failed", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "fence", r.GetFence(),
+		"target", r.GetOwner(), "err", err)
+	if isFenced(err) {
+		return k.assign(ctx, service, r, table, candidates, "", "higher fence known to the target")
+	}
+	if !neverArrived(err) {
+		// The call may have arrived, at the latest now, and may be carried out later: its time counts from its arrival.
+		h.end = max(h.end, k.clock()+certain)
+	}
+	if !h.failing {
+		h.failing, h.failingSince = true, k.clock()
+	}
+	return retryPause
+}
+
+// release takes keys back from an owner that is to lose them.
+func (k *Keeper) release(
+	ctx context.Context, service string, r *schemav1.KeyRange, h *hold, table *schemav1.KeyTable, candidates []Candidate,
+	owner *schemav1.Registration,
+) time.Duration {
+	if k.clock() >= h.end {
+		return k.assign(ctx, service, r, table, candidates, r.GetOwner(), "hold ended")
+	}
+	if next := Owner(table.GetRanges(), candidates, r.GetOwner()); next == nil {
+		return retryPause
+	}
+	callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, h.end-k.clock()))
+	defer cancel()
+	handover, err := k.granter.Release(callCtx, k.call(owner, r))
+	if err != nil {
+		klog.InfoS("release failed", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "fence", r.GetFence(),
+			"target", r.GetOwner(), "err", err)
+		return retryPause
+	}
+	k.mu.Lock()
+	h.handover = handover
+	k.mu.Unlock()
+	return k.assign(ctx, service, r, table, candidates, r.GetOwner(), "released")
+}
+
+// assign commits the next owner of a range that nobody holds any more.
+func (k *Keeper) assign(
+	ctx context.Context, service string, r *schemav1.KeyRange, table *schemav1.KeyTable, candidates []Candidate, avoid, reason string,
+) time.Duration {
+	if current := k.state.Keys(service); current != nil {
+		table = current
+	}
+	next := Owner(table.GetRanges(), candidates, avoid)
+	if next == nil {
+		return retryPause
+	}
+	change := &schemav1.RangeChange{Service: service, ExpectedFence: r.GetFence(), Range: &schemav1.KeyRange{
+		First: r.GetFirst(), Last: r.GetLast(), Owner: next.GetId(), OwnerStartedUnixMs: next.GetStartedUnixMs(),
+		State: schemav1.RangeState_RANGE_STATE_GRANTING,
+	}}
+	result, err := k.log.Propose(ctx, &schemav1.RegistryCommand{Range: change})
+	if err != nil {
+		klog.ErrorS(err, "key range not moved", "service", service, "first", r.GetFirst())
+		return retryPause
+	}
+	klog.InfoS("key range assigned", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "from", r.GetOwner(),
+		"to", next.GetId(), "fence", result.GetFence(), "applied", result.GetApplied(), "reason", reason)
+	return 0
+}
+
+func (k *Keeper) setState(ctx context.Context, service string, r *schemav1.KeyRange, state schemav1.RangeState) {
+	change := &schemav1.RangeChange{Service: service, ExpectedFence: r.GetFence(), Range: &schemav1.KeyRange{
+		First: r.GetFirst(), Last: r.GetLast(), Owner: r.GetOwner(), OwnerStartedUnixMs: r.GetOwnerStartedUnixMs(),
+		Fence: r.GetFence(), State: state,
+	}}
+	if _, err := k.log.Propose(ctx, &schemav1.RegistryCommand{Range: change}); err != nil {
+		klog.ErrorS(err, "state of a key range not committed", "service", service, "first", r.GetFirst(), "state", state)
+	}
+}
+
+// rebalance moves one range to a target that has far fewer.
+func (k *Keeper) rebalance(ctx context.Context, table *schemav1.KeyTable, candidates []Candidate) {
+	now := k.clock()
+	k.mu.Lock()
+	recent := now-k.movedAt[table.GetService()] < rebalancePause
+	k.mu.Unlock()
+	if recent {
+		return
+	}
+	r, target := Rebalance(table.GetRanges(), candidates)
+	if r == nil {
+		return
+	}
+	k.mu.Lock()
+	k.movedAt[table.GetService()] = now
+	k.mu.Unlock()
+	klog.InfoS("key range moves for balance", "service", table.GetService(), "first", r.GetFirst(), "from", r.GetOwner(), "to", target.GetId())
+	k.setState(ctx, table.GetService(), r, schemav1.RangeState_RANGE_STATE_RELEASING)
+	k.mu.Lock()
+	if h := k.holds[holdKey{table.GetService(), r.GetFirst()}]; h != nil {
+		h.next = now
+	}
+	k.mu.Unlock()
+}
--- a/pkg/host/control.go
+++ b/pkg/host/control.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/control"
+	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/raft"
 	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/rpc"
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fresh := state.HardState == nil && state.Snapshot == nil && len(state.Entries) == 0
+	fresh := member.IsFresh(replication.State(state))
 	return &controlMember{host: h, seeds: seeds, state: control.NewState(), log: log, identity: identity, fresh: fresh}, nil
 }
 
@@ -74,7 +75,7 @@
 		Address:        c.host.addresses.rpc,
 		Group:          controlGroup,
 		InitialMembers: initial,
-		Storage:        walStorage{c.log},
+		Storage:        member.Storage{Log: c.log},
 		Transport:      c.host.transport,
 		StateMachine:   c.state,
 	})
@@ -298,25 +299,6 @@
 	return status.LeaderAddress, status.Role == raft.Leader
 }
 
-// walStorage adapts the write-ahead log to the storage of a replica.
-type walStorage struct {
-	log *wal.Log
-}
-
-// Load implements replication.Storage.
-func (s walStorage) Load() (replication.State, error) {
-	state, err := s.log.Load()
-	return replication.State(state), err
-}
-
-// Save implements replication.Storage.
-func (s walStorage) Save(hardState *schemav1.HardState, entries []*schemav1.Entry, snapshot *schemav1.Snapshot) error {
-	return s.log.Save(hardState, entries, snapshot)
-}
-
-// Close implements replication.Storage.
-func (s walStorage) Close() error { return s.log.Close() }
-
 // sealer asks members of data centre groups to stop.
 type sealer struct {
 	client rpc.Client
--- a/pkg/host/groupservice.go
+++ b/pkg/host/groupservice.go
@@ -10,6 +10,7 @@
 
 	"almondrock.example/almondrock/pkg/apierr"
 	"almondrock.example/almondrock/pkg/control"
+	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/ownership"
 	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/rpc"
@@ -19,7 +20,7 @@
 
 // register adds the handlers of calls between hosts.
 func (h *Host) register(server *rpc.Server) {
-	rpc.Register(server, methodStep, h.handleStep)
+	rpc.Register(server, member.MethodStep, h.handleStep)
 	rpc.Register(server, methodRenew, claimed(h, func(r *schemav1.RenewRequest) tlsconfig.Identity {
 		return tlsconfig.Identity{DataCentre: h.settings.GetDataCentre(), Name: r.GetHost()}
 	}, h.handleRenew))
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -15,6 +15,7 @@
 	"almondrock.example/almondrock/pkg/decisionlog"
 	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/link"
+	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/proxy"
 	"almondrock.example/almondrock/pkg/rpc"
@@ -51,7 +52,7 @@
 	// tls is nil in plain text.
 	tls       *tlsconfig.Source
 	client    rpc.Client
-	transport *raftTransport
+	transport *member.Transport
 	lease     *lease.Holder
 	decisions *decisionlog.Log
 	metrics   *metrics.Registry
@@ -109,7 +110,7 @@
 	h.link = h.newLink()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.client = rpc.NewClient(rpc.ClientOptions{TLS: h.clientTLS(), Dial: options.Faults.dial()})
-	h.transport = newRaftTransport(h.ctx, h.client, &h.tasks)
+	h.transport = member.NewTransport(h.ctx, h.client, &h.tasks)
 	return h, nil
 }
 
--- a/pkg/host/methods.go
+++ b/pkg/host/methods.go
@@ -2,7 +2,6 @@
 
 // Methods of calls between hosts.
 const (
-	methodStep      = "Raft.Step"
 	methodJoin      = "Control.Join"
 	methodPoll      = "Control.Poll"
 	methodSubmit    = "Control.Submit"
--- a/pkg/host/transport.go
+++ b/pkg/member/transport.go
@@ -1,4 +1,4 @@
-package host
+package member
 
 import (
 	"context"
@@ -18,8 +18,11 @@
 	sendTimeout = time.Second
 )
 
-// raftTransport sends Raft batches to other hosts. It never blocks: a peer that does not keep up loses batches.
-type raftTransport struct {
+// MethodStep is the call that carries batches.
+const MethodStep = "Raft.Step"
+
+// Transport sends Raft batches to other hosts. It never blocks: a peer that does not keep up loses batches.
+type Transport struct {
 	client rpc.Client
 	ctx    context.Context
 	tasks  *sync.WaitGroup
@@ -28,12 +31,13 @@
 	peers map[string]chan *schemav1.RaftBatch
 }
 
-func newRaftTransport(ctx context.Context, client rpc.Client, tasks *sync.WaitGroup) *raftTransport {
-	return &raftTransport{client: client, ctx: ctx, tasks: tasks, peers: map[string]chan *schemav1.RaftBatch{}}
+// NewTransport returns a transport whose deliveries end with ctx and are counted by tasks.
+func NewTransport(ctx context.Context, client rpc.Client, tasks *sync.WaitGroup) *Transport {
+	return &Transport{client: client, ctx: ctx, tasks: tasks, peers: map[string]chan *schemav1.RaftBatch{}}
 }
 
 // Send implements replication.Transport.
-func (t *raftTransport) Send(address string, batch *schemav1.RaftBatch) {
+func (t *Transport) Send(address string, batch *schemav1.RaftBatch) {
 	if address == "" {
 		return
 	}
@@ -43,7 +47,7 @@
 	}
 }
 
-func (t *raftTransport) peer(address string) chan *schemav1.RaftBatch {
+func (t *Transport) peer(address string) chan *schemav1.RaftBatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	queue, ok := t.peers[address]
@@ -57,7 +61,7 @@
 	return queue
 }
 
-func (t *raftTransport) deliver(address string, queue <-chan *schemav1.RaftBatch) {
+func (t *Transport) deliver(address string, queue <-chan *schemav1.RaftBatch) {
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -65,7 +69,7 @@
 		case batch := <-queue:
 			ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
 			// Raft repeats what was lost, so a failed call needs no handling.
-			_ = t.client.Call(ctx, address, methodStep, batch, &schemav1.RaftBatchResponse{})
+			_ = t.client.Call(ctx, address, MethodStep, batch, &schemav1.RaftBatchResponse{})
 			cancel()
 		}
 	}
--- /dev/null
+++ b/pkg/routes/routes.go
@@ -0,0 +1,232 @@
+package routes
+
+import (
+	"cmp"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be done with a request more than once.
+type Kind int
+
+// Kinds of requests. Download answers are large and are treated as safe.
+const (
+	Safe Kind = iota + 1
+	Unsafe
+	Download
+)
+
+// String implements fmt.Stringer.
+func (k Kind) String() string {
+	switch k {
+	case Safe:
+		return "safe"
+	case Unsafe:
+		return "unsafe"
+	case Download:
+		return "download"
+	default:
+		return fmt.Sprintf("kind(%d)", int(k))
+	}
+}
+
+// Repeatable reports whether a request may run more than once.
+func (k Kind) Repeatable() bool { return k == Safe || k == Download }
+
+// Part is one destination of a route.
+type Part struct {
+	Service string
+	// Weight is relative to the sum of the route's weights.
+	Weight float64
+}
+
+// Route is where requests with a path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Rank orders routes by urgency; 0 is the most urgent.
+	Rank int
+	// Objective is the time within which an answer has its full value to the caller.
+	Objective time.Duration
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// MaxTargets is how many targets one request may be sent to.
+	MaxTargets int
+	// HomeRegions are the only regions that may serve the route; empty means all.
+	HomeRegions []string
+	Parts       []Part
+}
+
+// Service is a group of targets that run the same requests.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is the number of connections that one target accepts from all callers together.
+	MaxConnections int
+	// ColdPeriod is how long a target stays cold after its start; ColdRate is in requests per second.
+	ColdPeriod time.Duration
+	ColdRate   float64
+	// Exclusive services have one owner for each key.
+	Exclusive bool
+	// WarmUp is how long keys are slow that arrive without a handover.
+	WarmUp time.Duration
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	// MaxHeader and MaxBody are in bytes.
+	MaxHeader, MaxBody int64
+	HeaderTimeout      time.Duration
+	IdleTimeout        time.Duration
+}
+
+// Configuration is one complete revision.
+type Configuration struct {
+	Revision uint64
+	Limits   Limits
+	Routes   []Route
+	Services map[string]Service
+}
+
+// maxTimeout is the longest timeout that a route may have; the users' interface sets it.
+const maxTimeout = 10 * time.Minute
+
+// InvalidError tells why a configuration cannot be used.
+type InvalidError struct {
+	Route  string
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	if e.Route == "" {
+		return "invalid configuration: " + e.Reason
+	}
+	return fmt.Sprintf("invalid configuration: route %q: %s", e.Route, e.Reason)
+}
+
+// Check reports the first reason why c cannot be used, as *InvalidError.
+func (c *Configuration) Check() error {
+	if c.Revision == 0 {
+		return &InvalidError{Reason: "the version is missing"}
+	}
+	for i := range c.Routes {
+		if reason := c.checkRoute(&c.Routes[i]); reason != "" {
+			return &InvalidError{Route: c.Routes[i].Name, Reason: reason}
+		}
+	}
+	return nil
+}
+
+func (c *Configuration) checkRoute(r *Route) string {
+	switch {
+	case r.Host == "":
+		return "the host is empty"
+	case !strings.HasPrefix(r.Prefix, "/"):
+		return "the path prefix does not begin with a slash"
+	case r.Kind < Safe || r.Kind > Download:
+		return "the kind is unknown"
+	case r.Timeout > maxTimeout:
+		return fmt.Sprintf("the timeout is over %v", maxTimeout)
+	case r.Timeout < 0:
+		return "the timeout is negative"
+	}
+	total := 0.0
+	for _, part := range r.Parts {
+		if _, ok := c.Services[part.Service]; !ok {
+			return fmt.Sprintf("the service %q does not exist", part.Service)
+		}
+		if part.Weight < 0 {
+			return "a weight is negative"
+		}
+		total += part.Weight
+	}
+	if total <= 0 {
+		return "the weights add up to 0"
+	}
+	return ""
+}
+
+// Table finds routes. It is immutable.
+type Table struct {
+	Configuration *Configuration
+	hosts         map[string][]*Route
+}
+
+// Compile prepares a checked configuration for lookups.
+func Compile(c *Configuration) *Table {
+	t := &Table{Configuration: c, hosts: map[string][]*Route{}}
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		host := strings.ToLower(route.Host)
+		t.hosts[host] = append(t.hosts[host], route)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Find returns the route of host with the longest prefix of path. A port in host is ignored.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	routes, ok := t.hosts[host]
+	if !ok {
+		name, _, err := net.SplitHostPort(host)
+		if err != nil {
+			return nil, false
+		}
+		routes = t.hosts[name]
+	}
+	for _, route := range routes {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Splitter chooses the parts of routes in proportion to their weights (smooth weighted round robin), so that the shares
+// hold over short spans too. It is not safe for concurrent use.
+type Splitter struct {
+	credit map[string][]float64
+}
+
+// NewSplitter returns a splitter that has chosen nothing.
+func NewSplitter() *Splitter { return &Splitter{credit: map[string][]float64{}} }
+
+// Choose returns the service for the next request of route. start, from 0 to 1, is where the sequence of a new route
+// begins, so that hosts do not all start with the same part.
+func (s *Splitter) Choose(route *Route, start float64) string {
+	if len(route.Parts) == 1 {
+		return route.Parts[0].Service
+	}
+	total := 0.0
+	for _, part := range route.Parts {
+		total += part.Weight
+	}
+	id := route.Host + route.Prefix
+	credit := s.credit[id]
+	if len(credit) != len(route.Parts) {
+		credit = make([]float64, len(route.Parts))
+		for i, part := range route.Parts {
+			credit[i] = (start - 0.5) * part.Weight
+			start = 1 - start
+		}
+		s.credit[id] = credit
+	}
+	best := -1
+	for i, part := range route.Parts {
+		credit[i] += part.Weight
+		if part.Weight > 0 && (best < 0 || credit[i] > credit[best]) {
+			best = i
+		}
+	}
+	credit[best] -= total
+	return route.Parts[best].Service
+}
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -3,16 +3,16 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"almondrock.example/almondrock/pkg/internal/sockets"
 )
 
 // Bounds of connections. A new connection costs about 1 ms, so idle ones are kept; targets are on the local network,
@@ -137,7 +137,7 @@
 	for len(p.spares) > 0 {
 		last := p.spares[len(p.spares)-1]
 		p.spares = p.spares[:len(p.spares)-1]
-		if last.address == address && time.Since(last.opened) < spareAge && isOpen(last.conn) {
+		if last.address == address && time.Since(last.opened) < spareAge && sockets.IsQuiet(last.conn.Conn) {
 			return last.conn
 		}
 		last.conn.Close()
@@ -145,27 +145,6 @@
 	return nil
 }
 
-// isOpen reports whether the peer has neither closed the connection nor sent anything. Nothing watches a connection that
-// was opened ahead, and a request written to a closed one has an unknown outcome.
-func isOpen(conn *guardedConn) bool {
-	raw, ok := conn.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
-
 // Open is the number of open connections.
 func (p *Pool) Open() int { return int(p.open.Load()) }
 
--- a/pkg/wal/log.go
+++ b/pkg/wal/log.go
@@ -306,7 +306,11 @@
 }
 
 // Identity returns the identity of the host, which the first call draws at random and stores. It is never zero.
-func (l *Log) Identity() (uint64, error) {
+func (l *Log) Identity() (uint64, error) { return l.IdentityOr(0) }
+
+// IdentityOr is Identity for a member whose identity is agreed on in advance: a new folder stores first instead of a
+// random identity, unless first is zero.
+func (l *Log) IdentityOr(first uint64) (uint64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.usable(); err != nil {
@@ -316,7 +320,9 @@
 	if err != nil || identity != 0 {
 		return identity, err
 	}
-	identity = drawIdentity()
+	if identity = first; identity == 0 {
+		identity = drawIdentity()
+	}
 	if err := publishAndClose(l.fs, identityFile, bytes.NewReader([]byte(encodeIdentity(identity)))); err != nil {
 		return 0, l.poison(err)
 	}
