Let a lagging registry host say that its view is old, and drop stale Raft batches

Change: heartbeats tell the leader's commit index, a host that has not applied it is not current, and entry hosts turn to another; batches older than 250 ms are dropped by the sender. A view older than the caller's waits instead of being sent.

--- a/pkg/member/transport.go
+++ b/pkg/member/transport.go
@@ -16,6 +16,9 @@
 	sendWorkers = 2
 	// sendTimeout is longer than any round trip and short enough to notice a silent peer.
 	sendTimeout = time.Second
+	// sendAge is the age at which a batch is dropped instead of sent. Raft has repeated its content by then, and a peer that
+	// returns would first have to take everything that it missed.
+	sendAge = 250 * time.Millisecond
 )
 
 // MethodStep is the call that carries batches.
@@ -28,12 +31,18 @@
 	tasks  *sync.WaitGroup
 
 	mu    sync.Mutex
-	peers map[string]chan *schemav1.RaftBatch
+	peers map[string]chan queued
+}
+
+// queued is a batch that waits for its peer.
+type queued struct {
+	batch *schemav1.RaftBatch
+	since time.Time
 }
 
 // NewTransport returns a transport whose deliveries end with ctx and are counted by tasks.
 func NewTransport(ctx context.Context, client rpc.Client, tasks *sync.WaitGroup) *Transport {
-	return &Transport{client: client, ctx: ctx, tasks: tasks, peers: map[string]chan *schemav1.RaftBatch{}}
+	return &Transport{client: client, ctx: ctx, tasks: tasks, peers: map[string]chan queued{}}
 }
 
 // Send implements replication.Transport.
@@ -42,17 +51,17 @@
 		return
 	}
 	select {
-	case t.peer(address) <- batch:
+	case t.peer(address) <- queued{batch, time.Now()}:
 	default:
 	}
 }
 
-func (t *Transport) peer(address string) chan *schemav1.RaftBatch {
+func (t *Transport) peer(address string) chan queued {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	queue, ok := t.peers[address]
 	if !ok {
-		queue = make(chan *schemav1.RaftBatch, sendQueue)
+		queue = make(chan queued, sendQueue)
 		t.peers[address] = queue
 		for range sendWorkers {
 			t.tasks.Go(func() { t.deliver(address, queue) })
@@ -61,15 +70,18 @@
 	return queue
 }
 
-func (t *Transport) deliver(address string, queue <-chan *schemav1.RaftBatch) {
+func (t *Transport) deliver(address string, queue <-chan queued) {
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
-		case batch := <-queue:
+		case next := <-queue:
+			if time.Since(next.since) > sendAge {
+				continue
+			}
 			ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
 			// Raft repeats what was lost, so a failed call needs no handling.
-			_ = t.client.Call(ctx, address, MethodStep, batch, &schemav1.RaftBatchResponse{})
+			_ = t.client.Call(ctx, address, MethodStep, next.batch, &schemav1.RaftBatchResponse{})
 			cancel()
 		}
 	}
--- a/pkg/raft/follower.go
+++ b/pkg/raft/follower.go
@@ -19,6 +19,7 @@
 	}
 	n.heardAt = n.now
 	n.resetElectionTimer()
+	n.noteLeaderCommit(m)
 	switch m.GetType() {
 	case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND:
 		return n.stepAppend(m)
@@ -34,6 +35,16 @@
 	return nil
 }
 
+// noteLeaderCommit keeps the leader's commit index, which is above this member's own while it lags behind.
+func (n *Node) noteLeaderCommit(m *schemav1.RaftMessage) {
+	switch m.GetType() {
+	case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT:
+		n.leaderCommit = max(n.leaderCommit, m.GetIndex())
+	case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND:
+		n.leaderCommit = max(n.leaderCommit, m.GetCommit())
+	}
+}
+
 func (n *Node) stepAppend(m *schemav1.RaftMessage) error {
 	answer := &schemav1.RaftMessage{
 		Type: schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, To: m.GetFrom(), Index: m.GetIndex(),
--- a/pkg/raft/heartbeat.go
+++ b/pkg/raft/heartbeat.go
@@ -40,7 +40,7 @@
 		}
 		n.send(&schemav1.RaftMessage{
 			Type: schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, To: id, Context: n.round,
-			Commit: min(p.match, n.log.commit),
+			Commit: min(p.match, n.log.commit), Index: n.log.commit,
 		})
 	}
 	n.confirmReads()
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -37,6 +37,8 @@
 	// heardAt is the tick of the last message from a valid leader. It starts at 0, the tick of the start, so that a
 	// restarted voter keeps the promise that its acknowledgements before the restart made to a leader's lease.
 	heardAt uint64
+	// leaderCommit is the highest commit index that a leader has told.
+	leaderCommit uint64
 	// electionDue is the tick of the next election attempt.
 	electionDue uint64
 
--- a/pkg/raft/ready.go
+++ b/pkg/raft/ready.go
@@ -143,10 +143,12 @@
 
 // Status is a member's view of its group.
 type Status struct {
-	ID, Term, Leader          uint64
-	Role                      Role
-	Sealed                    bool
-	Commit, Applied           uint64
+	ID, Term, Leader uint64
+	Role             Role
+	Sealed           bool
+	Commit, Applied  uint64
+	// LeaderCommit is the highest commit index that a leader has told; it is above Commit while this member lags behind.
+	LeaderCommit              uint64
 	LastIndex, LastTerm       uint64
 	FirstIndex, SnapshotIndex uint64
 	Now                       uint64
@@ -158,7 +160,8 @@
 	s := Status{
 		ID: n.config.ID, Term: n.term, Leader: n.leader, Role: n.role, Sealed: n.sealed,
 		Commit: n.log.commit, Applied: n.log.applied, LastIndex: n.log.last(), LastTerm: n.log.lastTerm(),
-		FirstIndex: n.log.first, SnapshotIndex: n.log.snapshot.GetIndex(), Now: n.now,
+		LeaderCommit: max(n.leaderCommit, n.log.commit),
+		FirstIndex:   n.log.first, SnapshotIndex: n.log.snapshot.GetIndex(), Now: n.now,
 	}
 	for _, member := range n.membership().GetMembers() {
 		status := MemberStatus{Member: member}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -91,6 +91,8 @@
 	failed  chan error
 	// announcing is set while this host records its own addresses.
 	announcing atomic.Bool
+	// currentAt is when this host last had everything that was committed, in Unix nanoseconds.
+	currentAt atomic.Int64
 }
 
 // New opens the data folder and the listener for other hosts.
@@ -332,6 +334,7 @@
 			leaderSeen = time.Now()
 			r.askToJoin()
 		}
+		r.isCurrent(status)
 		if status.Leader != 0 {
 			r.announceSelf()
 		}
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -12,6 +12,7 @@
 	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/raft"
 	"almondrock.example/almondrock/pkg/registry"
+	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -30,6 +31,9 @@
 	watchHold = 400 * time.Millisecond
 	// watcherSilence is how long after its last call an entry host counts as present.
 	watcherSilence = 8 * time.Second
+	// lagAllowed is how long this host may lack committed entries and still count as current: a few round trips between
+	// regions.
+	lagAllowed = 200 * time.Millisecond
 	// beatMemory is the number of announcements whose order is remembered.
 	beatMemory = 16384
 	// orderTimeout bounds an order of a caller; callers turn to another host after a second.
@@ -148,7 +152,8 @@
 	defer deadline.Stop()
 	for {
 		changed := r.state.Changed()
-		if r.state.Version() != request.GetVersion() {
+		// A host that lags behind the caller has nothing to tell until it has caught up.
+		if r.state.Version() > request.GetVersion() {
 			break
 		}
 		select {
@@ -160,8 +165,8 @@
 		break
 	}
 	replica := r.member()
-	known := replica != nil && replica.Status().Leader != 0
-	if r.state.Version() == request.GetVersion() {
+	known := replica != nil && r.isCurrent(replica.Status())
+	if r.state.Version() <= request.GetVersion() {
 		return &schemav1.ViewUpdate{Version: request.GetVersion(), LeaderKnown: known}, nil
 	}
 	update := r.state.Since(request.GetVersion())
@@ -169,6 +174,17 @@
 	return update, nil
 }
 
+// isCurrent reports whether this host has all that its leader has told to be committed, apart from what came in the last
+// moments. A host that was away has a leader again long before it has caught up.
+func (r *Registrar) isCurrent(status replication.Status) bool {
+	now := time.Now().UnixNano()
+	if status.Leader != 0 && status.Applied >= status.LeaderCommit {
+		r.currentAt.Store(now)
+		return true
+	}
+	return status.Leader != 0 && time.Duration(now-r.currentAt.Load()) < lagAllowed
+}
+
 func (r *Registrar) addEntry(entry *schemav1.EntryHost) {
 	for _, known := range r.state.Entries() {
 		if known.GetName() == entry.GetName() && proto.Equal(known, entry) {
@@ -269,30 +285,11 @@
 
 // Leave takes the word that a target is gone. started is 0 when the target did not say which start it means.
 func (r *Registrar) Leave(ctx context.Context, id string, started int64) error {
-	known, ok := r.state.Target(id)
-	if !ok {
-		// The registration may not have arrived here yet.
-		if err := r.catchUp(ctx); err != nil {
-			return err
-		}
-		if known, ok = r.state.Target(id); !ok {
-			return nil
-		}
-	}
-	if started == 0 {
-		started = known.GetStartedUnixMs()
-	}
 	_, err := r.order(ctx, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: id, StartedUnixMs: started}})
 	klog.InfoS("target left", "target", id, "started", started, "err", err)
 	return err
 }
 
-// catchUp waits until this host has everything that was acknowledged before the call.
-func (r *Registrar) catchUp(ctx context.Context) error {
-	_, err := r.order(ctx, &schemav1.RegistryCommand{})
-	return err
-}
-
 // Submit puts a configuration in force, unless one with the same or a higher revision is.
 func (r *Registrar) Submit(ctx context.Context, document *schemav1.RouteDocument) error {
 	result, err := r.order(ctx, &schemav1.RegistryCommand{Routes: document})
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -183,9 +183,11 @@
 	}
 }
 
+// applyForget ends a target. A start of 0 means the one that is known.
 func (s *State) applyForget(target *schemav1.Registration, version uint64) bool {
 	old, ok := s.targets[target.GetId()]
-	if !ok || old.GetLife() == schemav1.Life_LIFE_GONE || old.GetStartedUnixMs() != target.GetStartedUnixMs() {
+	other := target.GetStartedUnixMs() != 0 && old.GetStartedUnixMs() != target.GetStartedUnixMs()
+	if !ok || old.GetLife() == schemav1.Life_LIFE_GONE || other {
 		return false
 	}
 	gone := proto.Clone(old).(*schemav1.Registration)
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -29,7 +29,9 @@
 	LeaderAddress string
 	Sealed        bool
 	// Commit and Applied are log indexes.
-	Commit, Applied   uint64
+	Commit, Applied uint64
+	// LeaderCommit is the highest commit index that a leader has told; it is above Applied while this member lags behind.
+	LeaderCommit      uint64
 	LastIndex         uint64
 	LastTerm          uint64
 	LastSnapshotIndex uint64
@@ -55,7 +57,7 @@
 	}
 	r.status = Status{
 		ID: s.ID, Role: s.Role, Term: s.Term, Leader: s.Leader, LeaderAddress: r.member.addressOf(s.Leader),
-		Sealed: s.Sealed, Commit: s.Commit, Applied: s.Applied, LastIndex: s.LastIndex, LastTerm: s.LastTerm,
+		Sealed: s.Sealed, Commit: s.Commit, Applied: s.Applied, LeaderCommit: s.LeaderCommit, LastIndex: s.LastIndex, LastTerm: s.LastTerm,
 		LastSnapshotIndex: s.SnapshotIndex, Members: members,
 	}
 }
