Use more of the retry budget, send shed callers back soon, and learn paces in a steady scale

Paces of targets and usual times of routes could drift together, because each was learned relative to the other. Change: 92 % of the budget; Retry-After 20 ms after a shed; usual times follow the answers themselves; another region costs as much as 100 ms, and large answers keep to their region.

--- a/pkg/dispatch/core.go
+++ b/pkg/dispatch/core.go
@@ -13,9 +13,13 @@
 // paid for, and regions are a round trip of 24 ms apart.
 const (
 	otherDataCentreCost = 15 * time.Millisecond
-	otherRegionCost     = 250 * time.Millisecond
+	otherRegionCost     = 100 * time.Millisecond
 	// large answers cost more to move.
-	largeFactor = 4
+	largeFactor = 12
+	// manyHosts is the number of entry hosts from which on load reports are too late to be relied on, because each host
+	// bounds what it spends on them. Hosts then prefer a part of the targets each, by foreignShare per cent of the work.
+	manyHosts    = 30
+	foreignShare = 40
 	// failureCost is the time that a certain failure counts for.
 	failureCost = 600 * time.Millisecond
 	// tieShare is the random part of a score, so that hosts with the same view do not choose the same target.
@@ -65,6 +69,8 @@
 	peers            map[string]*peer
 	waiting          []*Waiter
 	sequence         uint64
+	// rank is this host's place among the hosts of its data centre.
+	rank int
 	// dirty is set while the load in flight differs from the last report.
 	dirty bool
 }
@@ -108,7 +114,7 @@
 		next.Slots = max(next.Slots, defaultSlots)
 		known, ok := old[next.ID]
 		if !ok || known.Started != next.Started {
-			known = &target{hash: Hash(next.ID), pace: 1}
+			known = &target{hash: Hash(next.ID), pace: unknownPace}
 		}
 		if next.Cold && !known.Cold {
 			known.cold = bucket{level: coldBurst, at: now, used: true}
@@ -119,6 +125,7 @@
 		s := c.service(next.Service)
 		s.targets = append(s.targets, known)
 	}
+	c.setOwn()
 	c.dirty = true
 }
 
@@ -141,11 +148,27 @@
 	}
 }
 
-// SetHosts sets the number of entry hosts in all and in this data centre, which share rates between them.
-func (c *Core) SetHosts(all, here int) {
+// SetHosts sets the number of entry hosts in all and in this data centre, which share rates between them, and this host's
+// place among those of its data centre, from 0.
+func (c *Core) SetHosts(all, here, rank int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hosts, c.hostsHere = max(1, all), max(1, here)
+	c.hosts, c.hostsHere, c.rank = max(1, all), max(1, here), max(0, rank)
+	c.setOwn()
+}
+
+// setOwn divides the targets of this data centre among its hosts. A host prefers its part, whose load it knows exactly.
+func (c *Core) setOwn() {
+	for _, s := range c.services {
+		index := 0
+		for _, t := range s.targets {
+			t.preferred = false
+			if t.DataCentre == c.options.DataCentre {
+				t.preferred = index%c.hostsHere == c.rank
+				index++
+			}
+		}
+	}
 }
 
 func (c *Core) service(name string) *service {
@@ -205,6 +228,8 @@
 	Unreachable Reason = "unreachable"
 	// ColdOnly: only cold targets are left, which get all that they tolerate.
 	ColdOnly Reason = "cold"
+	// Refused: the targets that were asked refused the request without running it.
+	Refused Reason = "refused-by-target"
 	// Late: no target would answer in time.
 	Late Reason = "late"
 )
@@ -228,7 +253,7 @@
 			continue
 		}
 		expected := t.predict(now, base)
-		cost := c.distance(t, r.Large)
+		cost := c.distance(t, r.Large, base)
 		score := float64(expected+cost) + t.failureShare(now)*float64(failureCost)
 		score *= 1 + tieShare*c.options.Rand()
 		if best == nil || score < bestScore {
@@ -298,7 +323,7 @@
 	return s.coldRate / float64(c.hostsHere)
 }
 
-func (c *Core) distance(t *target, large bool) time.Duration {
+func (c *Core) distance(t *target, large bool, base time.Duration) time.Duration {
 	cost := time.Duration(0)
 	switch {
 	case t.Region != c.options.Region:
@@ -309,6 +334,9 @@
 	if large {
 		cost *= largeFactor
 	}
+	if !t.preferred && c.hosts >= manyHosts {
+		cost += base * foreignShare / 100
+	}
 	return cost
 }
 
@@ -342,13 +370,13 @@
 	case Answered:
 		t.broken, t.downUntil = 0, 0
 		t.noteFailure(now, 0)
-		c.learn(choice, t, result.Took)
+		c.learn(now, choice, t, result.Took, result.Report)
 	case Failed, Shed:
 		t.broken = 0
 		t.noteFailure(now, 1)
 	case Silent:
 		t.noteFailure(now, 1)
-		c.learn(choice, t, result.Took)
+		c.learn(now, choice, t, result.Took, result.Report)
 	case Broken:
 		t.noteFailure(now, 1)
 		t.noteBroken(now)
@@ -359,18 +387,17 @@
 }
 
 // learn takes the time of an answer into the pace of the target and the usual time of the route.
-func (c *Core) learn(choice *Choice, t *target, took time.Duration) {
+func (c *Core) learn(now time.Duration, choice *Choice, t *target, took time.Duration, report *Load) {
 	rounds := 1 + float64(choice.ahead)/float64(max(1, t.Slots))
-	reported := 1.0
-	if t.report.Pace > 0 {
-		reported = t.report.Pace
+	alone := float64(took) / rounds
+	work, reported := alone/float64(choice.base), 0.0
+	if report != nil {
+		reported = report.Pace
 	}
-	// Half of the reported pace is taken as the pace during the work, which began earlier than the report.
-	alone := float64(took) / rounds / (1 + (reported-1)/2)
-	pace := min(max(alone/float64(choice.base), minPace), maxPace)
-	t.pace += (pace - t.pace) * paceWeight
+	t.observe(now, work, reported)
 	base := c.base(choice.route)
-	usual := alone / max(t.pace, minPace)
+	// The usual time is that of the targets that are chosen, so that their paces lie around 1.
+	usual := min(alone, float64(base)*paceOutlier)
 	c.bases[choice.route] = base + time.Duration((usual-float64(base))*baseWeight)
 }
 
@@ -384,7 +411,7 @@
 }
 
 // budgetShare is the part of the budget for further sends that is used; the rest covers hosts that count differently.
-const budgetShare = 0.6
+const budgetShare = 0.92
 
 // budgetSize is this host's part of the slack. The smallest size lets a host with few requests send one again.
 func (c *Core) budgetSize() float64 {
@@ -405,6 +432,9 @@
 	switch reason {
 	case Busy, Late:
 		return min(max(c.base(route), retryAfterLeast), retryAfterMost)
+	case Refused:
+		// Targets that shed refuse each request by itself, so that coming back soon has as good a chance.
+		return retryAfterShed
 	case ColdOnly, Unreachable:
 		return backOffFirst * 2
 	default:
@@ -415,5 +445,6 @@
 // Bounds of the time that a refused caller is told to wait.
 const (
 	retryAfterLeast = 100 * time.Millisecond
+	retryAfterShed  = 20 * time.Millisecond
 	retryAfterMost  = time.Second
 )
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -48,8 +48,13 @@
 
 // Smoothing and back-off of what is known about a target.
 const (
-	// paceWeight is the weight of one observation: four answers move the estimate by three quarters.
-	paceWeight = 0.3
+	// paceWeight is the weight of one observation. The duration of work varies by its own size, so that an estimate needs
+	// about ten answers; all hosts of a region share theirs.
+	paceWeight = 0.12
+	// unknownPace is the estimate for a target that has answered nothing. It is below 1, so that new targets are tried.
+	unknownPace = 1.0
+	// paceOutlier bounds one observation relative to the estimate, because a few requests take many times as long.
+	paceOutlier = 4.0
 	// paceMemory is how long a reported pace is taken as current. Targets share machines whose speed changes several
 	// times a second.
 	paceMemory = 400 * time.Millisecond
@@ -76,10 +81,14 @@
 	// own counts requests in flight from this host; peers from the others of the region.
 	own   int
 	peers int
+	// preferred is set for the targets that this host prefers.
+	preferred bool
 	// pace is the smoothed duration of work relative to the service's usual one, without the reported part.
-	pace     float64
-	report   Load
-	reportAt time.Duration
+	pace float64
+	// observations counts those in pace.
+	observations int
+	report       Load
+	reportAt     time.Duration
 	// failures is the smoothed share of attempts that failed or were shed.
 	failures   float64
 	failuresAt time.Duration
@@ -107,6 +116,20 @@
 	return time.Duration(float64(base) * t.paceAt(now) * rounds)
 }
 
+// observe takes the duration of one piece of work, relative to the usual one, into the estimate. reported is the pace that
+// the target told with it, or 0.
+func (t *target) observe(now time.Duration, work, reported float64) {
+	if reported > 0 {
+		t.report.Pace, t.reportAt = reported, now
+	} else {
+		reported = 1
+	}
+	// The work began before the report, so that half of its deviation is taken as the pace during the work.
+	pace := min(max(work/(1+(reported-1)/2), minPace), maxPace, t.pace*paceOutlier)
+	t.observations++
+	t.pace += (pace - t.pace) * max(paceWeight, 1/float64(t.observations+1))
+}
+
 func (t *target) failureShare(now time.Duration) float64 {
 	return t.failures * math.Exp(-float64(now-t.failuresAt)/float64(failureMemory))
 }
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -218,7 +218,7 @@
 	}
 	x.finish(choice, outcome)
 	if !x.mayResend(choice) {
-		return x.giveUp(dispatch.Busy), false
+		return x.giveUp(dispatch.Refused), false
 	}
 	if misdirected && x.exclusive {
 		pause(ctx, keyPause)
--- a/pkg/entry/feed.go
+++ b/pkg/entry/feed.go
@@ -128,13 +128,17 @@
 		h.core.SetTargets(now, next.dispatchTargets(h.options.Regions))
 	}
 	if update.GetHostsChanged() {
-		here := 0
+		here, rank := 0, 0
 		for _, entry := range next.entries {
-			if entry.GetDataCentre() == h.options.DataCentre {
-				here++
+			if entry.GetDataCentre() != h.options.DataCentre {
+				continue
 			}
+			if entry.GetName() == h.options.Name {
+				rank = here
+			}
+			here++
 		}
-		h.core.SetHosts(len(next.entries), here)
+		h.core.SetHosts(len(next.entries), here, rank)
 		h.setPeers(next.entries)
 	}
 	h.changed.broadcast()
--- a/pkg/entry/report.go
+++ b/pkg/entry/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,6 +16,10 @@
 	// reportEvery bounds how often load in flight is told to the other hosts of the region. Work takes 100 ms and more, so
 	// that little changes in between.
 	reportEvery = 15 * time.Millisecond
+	// reportCost is the time between datagrams on average: 250 a second take about a fiftieth of a core.
+	reportCost = 3 * time.Millisecond
+	// regionPeers is the number of hosts of a region above which only those of the own data centre are told.
+	regionPeers = 12
 	// reportRepeat makes up for lost datagrams while nothing changes.
 	reportRepeat = 400 * time.Millisecond
 	// maxReport is the largest datagram.
@@ -23,11 +28,17 @@
 
 // setPeers sets the hosts of the region that get load reports.
 func (h *Host) setPeers(entries []*schemav1.EntryHost) {
-	var peers []*net.UDPAddr
+	var near []*schemav1.EntryHost
 	for _, entry := range entries {
-		if entry.GetName() == h.options.Name || h.options.Regions[entry.GetDataCentre()] != h.options.Region {
-			continue
+		if entry.GetName() != h.options.Name && h.options.Regions[entry.GetDataCentre()] == h.options.Region {
+			near = append(near, entry)
 		}
+	}
+	if len(near) > regionPeers {
+		near = slices.DeleteFunc(near, func(e *schemav1.EntryHost) bool { return e.GetDataCentre() != h.options.DataCentre })
+	}
+	var peers []*net.UDPAddr
+	for _, entry := range near {
 		address, err := net.ResolveUDPAddr("udp", entry.GetLoadAddress())
 		if err != nil {
 			klog.ErrorS(err, "load address cannot be used", "entry", entry.GetName(), "address", entry.GetLoadAddress())
@@ -44,7 +55,7 @@
 	repeated := time.Duration(0)
 	idle := false
 	for {
-		pause(ctx, reportEvery)
+		pause(ctx, max(reportEvery, time.Duration(len(*h.peers.Load()))*reportCost))
 		if ctx.Err() != nil {
 			return
 		}
