--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -32,6 +32,8 @@
 	// leaveDelay is how long new connections still arrive after the host stops being ready: the balancer takes a host out
 	// after two answers, a second apart.
 	leaveDelay = 2200 * time.Millisecond
+	// dialBackOff bounds the pause between dials of a registry host, without which this host cannot start.
+	dialBackOff = 100 * time.Millisecond
 	// sweepEvery is how often idle connections past their time are closed.
 	sweepEvery = time.Second
 )
@@ -93,7 +95,7 @@
 		options: options, started: time.Now(), core: dispatch.New(options.Dispatch),
 		entry:    &schemav1.EntryHost{Name: options.Name, DataCentre: options.DataCentre, LoadAddress: options.Load},
 		upstream: upstream.New(upstream.Options{IDHeader: options.Protocol.RequestID}),
-		client:   rpc.NewClient(rpc.ClientOptions{MaxConnections: 1}), splitter: routes.NewSplitter(),
+		client:   rpc.NewClient(rpc.ClientOptions{MaxConnections: 1, BackoffMax: dialBackOff}), splitter: routes.NewSplitter(),
 		loadChanged: make(chan struct{}, 1), measures: newMeasures(options.Name, options.DataCentre),
 	}
 	h.view.Store(&view{})
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -31,14 +31,16 @@
 	tick           = 25 * time.Millisecond
 	heartbeatTicks = 5
 	// electionMinTicks is over three heartbeats, and over a sync on a disk that is 25 times slower than usual.
-	electionMinTicks = 22
-	electionMaxTicks = 36
+	electionMinTicks = 16
+	electionMaxTicks = 28
 	// learnerHeartbeatTicks is below electionMinTicks, so that a learner knows its leader.
 	learnerHeartbeatTicks = 10
 	// stepInterval is the time between the leader's decisions.
 	stepInterval = 100 * time.Millisecond
 	// joinRetry is the pause between tries to join the group.
 	joinRetry = 200 * time.Millisecond
+	// dialBackOff bounds the pause between dials. After all hosts were down at once, each pause delays the next leader.
+	dialBackOff = 100 * time.Millisecond
 	// lonely is how long a member waits for a leader before it asks whether it is still a member.
 	lonely = 3 * time.Second
 	// forwardTimeout bounds one call to the leader, below the second after which callers turn to another host.
@@ -107,7 +109,7 @@
 	}
 	r := &Registrar{
 		options: options, state: registry.NewState(), log: log, fresh: member.IsFresh(replication.State(state)),
-		client: rpc.NewClient(rpc.ClientOptions{}), server: rpc.NewServer(rpc.ServerOptions{}),
+		client: rpc.NewClient(rpc.ClientOptions{BackoffMax: dialBackOff}), server: rpc.NewServer(rpc.ServerOptions{}),
 		started: time.Now(), failed: make(chan error, 1),
 	}
 	first := uint64(0)
