Ask a second target when a repeatable request takes unusually long

Change: after twice the expected time, or when only a second answer can still be in time, a second target with a free slot is asked within the budget for further sends; the first good answer wins.

--- a/pkg/dispatch/core.go
+++ b/pkg/dispatch/core.go
@@ -195,6 +195,8 @@
 	Owner string
 	// Rank orders waiting requests; 0 goes first.
 	Rank int
+	// Spare asks for a target with a free slot that is not cold.
+	Spare bool
 	// Left is the time until the request is over, Objective the time until its answer loses value.
 	Left, Objective time.Duration
 }
@@ -204,6 +206,8 @@
 	Target
 	// Expected is the predicted time until the answer.
 	Expected time.Duration
+	// Usual is the time that the work usually takes.
+	Usual time.Duration
 	// InFlight is what was in flight at the target from all known hosts.
 	InFlight int
 	// ReportAge is the age of the target's own load report; negative when there is none.
@@ -267,7 +271,7 @@
 		return nil, ColdOnly
 	}
 	choice := &Choice{
-		Target: best.Target, Expected: bestCost, InFlight: best.load(), ReportAge: -1,
+		Target: best.Target, Expected: bestCost, Usual: base, InFlight: best.load(), ReportAge: -1,
 		target: best, base: base, route: r.Route, ahead: max(0, best.load()+1-best.Slots),
 	}
 	if best.report.Slots > 0 {
@@ -301,6 +305,8 @@
 		return ColdOnly
 	case t.Cold && !t.hasColdToken(now, c.coldShare(s, r.Owner != "")):
 		return ColdOnly
+	case r.Spare && (t.Cold || t.load() >= t.Slots):
+		return Busy
 	case t.load() >= t.Slots+queueAtTarget:
 		return Busy
 	case t.load() >= t.Slots && t.predict(now, base) > r.Left:
@@ -374,6 +380,8 @@
 	case Failed, Shed:
 		t.broken = 0
 		t.noteFailure(now, 1)
+	case Outrun:
+		c.learn(now, choice, t, result.Took, result.Report)
 	case Silent:
 		t.noteFailure(now, 1)
 		c.learn(now, choice, t, result.Took, result.Report)
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -42,6 +42,8 @@
 	Silent
 	// Cancelled: the caller left.
 	Cancelled
+	// Outrun: another target answered first; the work would have taken longer than this.
+	Outrun
 	// Replaced: another target has the address.
 	Replaced
 )
--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -47,11 +47,14 @@
 	body     []byte
 	// whole is set when body is complete; otherwise the rest follows on the connection.
 	whole bool
+	// notRun is set when the target says that it did not run the request.
+	notRun bool
 }
 
 // read checks the answer and reads its body, unless that is long.
-func (a *answer) read(p Protocol, notRun bool) error {
-	if !notRun && a.response.StatusCode < http.StatusMultipleChoices {
+func (a *answer) read(p Protocol) error {
+	a.notRun = a.response.Header.Get(p.NotRun) != "" || a.response.StatusCode == http.StatusMisdirectedRequest
+	if !a.notRun && a.response.StatusCode < http.StatusMultipleChoices {
 		if a.response.Header.Get(p.Proof) == "" {
 			return merry.Wrap(ErrNoProof)
 		}
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -53,6 +52,10 @@
 	tried     []string
 	// sends counts attempts that reached a target; unsent those that certainly did not.
 	sends, unsent int
+	// hedges counts requests to a second target while the first was at work; they are among the sends.
+	hedges int
+	// cancels end the contexts of answers whose bodies are passed on while they arrive.
+	cancels []context.CancelFunc
 	// mayHaveRun is set once an attempt ended without certainty. No refusal may then say that the request did not run.
 	mayHaveRun bool
 	// failure is the last answer of a target that was held back for another attempt.
@@ -67,6 +70,11 @@
 // run sends the request until it has an answer, and returns the result for the log.
 func (x *exchange) run(ctx context.Context) string {
 	x.host.core.NoteRequest(x.host.now(), x.service)
+	defer func() {
+		for _, cancel := range x.cancels {
+			cancel()
+		}
+	}()
 	for {
 		choice, reason := x.choose(ctx)
 		if ctx.Err() != nil {
@@ -92,12 +100,17 @@
 	x.host.noteLoad()
 }
 
-// choose finds a target, waiting for a while if all are busy.
-func (x *exchange) choose(ctx context.Context) (*dispatch.Choice, dispatch.Reason) {
-	request := &dispatch.Request{
+// choiceRequest describes the request to the choice of a target.
+func (x *exchange) choiceRequest() *dispatch.Request {
+	return &dispatch.Request{
 		Service: x.service, Route: x.route.Name + x.service, Regions: x.route.HomeRegions, Large: x.route.Kind == routes.Download,
 		Tried: x.tried, Rank: x.route.Rank, Left: x.left(), Objective: x.route.Objective,
 	}
+}
+
+// choose finds a target, waiting for a while if all are busy.
+func (x *exchange) choose(ctx context.Context) (*dispatch.Choice, dispatch.Reason) {
+	request := x.choiceRequest()
 	if x.exclusive {
 		owner, reason := x.awaitOwner(ctx)
 		if owner == "" {
@@ -162,32 +175,29 @@
 
 // attempt sends the request to one target. again tells to choose another one.
 func (x *exchange) attempt(ctx context.Context, choice *dispatch.Choice) (result string, again bool) {
+	t := x.sendHedged(ctx, choice)
+	choice = t.choice
 	x.target = choice.ID
-	sent := x.host.now()
-	response, err := x.host.upstream.Send(ctx, x.request(choice))
-	if err != nil {
-		return x.failedSend(ctx, choice, sent, err)
+	if t.answer == nil {
+		return x.failedSend(ctx, t)
 	}
 	x.sends++
-	a := &answer{response: response}
-	outcome := dispatch.Result{Outcome: dispatch.Answered, Report: x.report(response)}
-	notRun := response.Header.Get(x.host.options.Protocol.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
-	if err := a.read(x.host.options.Protocol, notRun); err != nil {
-		response.Abort()
+	a, response := t.answer, t.answer.response
+	outcome := dispatch.Result{Outcome: dispatch.Answered, Report: x.report(response), Took: t.took}
+	if t.err != nil {
 		outcome.Outcome = dispatch.Failed
 		if ctx.Err() != nil {
 			outcome.Outcome = dispatch.Cancelled
 		}
 		x.finish(choice, outcome)
-		if !notRun {
+		if !a.notRun {
 			x.mayHaveRun = true
 		}
-		klog.InfoS("answer not usable", "request", x.id, "target", choice.ID, "err", err)
+		klog.InfoS("answer not usable", "request", x.id, "target", choice.ID, "err", t.err)
 		return x.again(choice, "bad-answer")
 	}
-	outcome.Took = x.host.now() - sent
 	switch {
-	case notRun:
+	case a.notRun:
 		return x.notRun(ctx, choice, a, outcome)
 	case response.StatusCode >= http.StatusInternalServerError:
 		outcome.Outcome = dispatch.Failed
@@ -227,12 +237,9 @@
 }
 
 // failedSend handles an attempt without an answer.
-func (x *exchange) failedSend(ctx context.Context, choice *dispatch.Choice, sent time.Duration, err error) (string, bool) {
-	outcome := dispatch.Result{Outcome: dispatch.Broken, Took: x.host.now() - sent}
-	var failed *upstream.Error
-	if !errors.As(err, &failed) {
-		failed = &upstream.Error{Stage: upstream.Sent, Cause: err}
-	}
+func (x *exchange) failedSend(ctx context.Context, t *try) (string, bool) {
+	choice, failed := t.choice, t.failure()
+	outcome := dispatch.Result{Outcome: dispatch.Broken, Took: t.took}
 	switch {
 	case ctx.Err() != nil:
 		outcome.Outcome = dispatch.Cancelled
