--- a/pkg/dispatch/core.go
+++ b/pkg/dispatch/core.go
@@ -63,7 +63,7 @@
 	targets  map[string]*target
 	hashes   map[uint32]*target
 	out      map[string]bool
-	bases    map[string]time.Duration
+	usual    map[string]usual
 	// hosts is the number of entry hosts, hostsHere those of this data centre.
 	hosts, hostsHere int
 	peers            map[string]*peer
@@ -81,6 +81,12 @@
 	budget   bucket
 }
 
+// usual is how long the work of a route takes on the targets that are chosen.
+type usual struct {
+	work  time.Duration
+	count int
+}
+
 type peer struct {
 	start, sequence uint64
 	at              time.Duration
@@ -94,7 +100,7 @@
 	}
 	return &Core{
 		options: options, services: map[string]*service{}, targets: map[string]*target{}, hashes: map[uint32]*target{},
-		out: map[string]bool{}, bases: map[string]time.Duration{}, peers: map[string]*peer{}, hosts: 1, hostsHere: 1,
+		out: map[string]bool{}, usual: map[string]usual{}, peers: map[string]*peer{}, hosts: 1, hostsHere: 1,
 	}
 }
 
@@ -347,8 +353,8 @@
 }
 
 func (c *Core) base(route string) time.Duration {
-	if base, ok := c.bases[route]; ok {
-		return base
+	if known, ok := c.usual[route]; ok {
+		return known.work
 	}
 	return defaultBase
 }
@@ -405,8 +411,14 @@
 	t.observe(now, work, reported)
 	base := c.base(choice.route)
 	// The usual time is that of the targets that are chosen, so that their paces lie around 1.
-	usual := min(alone, float64(base)*paceOutlier)
-	c.bases[choice.route] = base + time.Duration((usual-float64(base))*baseWeight)
+	known := c.usual[choice.route]
+	known.count++
+	usual := alone
+	if known.count > 1 {
+		usual = min(alone, float64(base)*paceOutlier)
+	}
+	known.work = base + time.Duration((usual-float64(base))*max(baseWeight, 1/float64(known.count)))
+	c.usual[choice.route] = known
 }
 
 // NoteRequest counts a new request of a service, from which further sends are paid.
