Give no keys to a target that left its grants unanswered

Cause (found by the new tests of the keeper): a target that is down but still registered has no keys after its hold ended, so that the balance moved a range back to it, whose keys were unserved for another hold. Change: such a target gets no keys for 10 s.

--- a/pkg/grants/keeper.go
+++ b/pkg/grants/keeper.go
@@ -36,6 +36,8 @@
 	settle = 800 * time.Millisecond
 	// rebalancePause is the time between moves of balance.
 	rebalancePause = 700 * time.Millisecond
+	// silentPause is how long a target that left its calls unanswered gets no keys. It may be down without having said so.
+	silentPause = 10 * time.Second
 	// joinPause is how long a target must have been known and warm before it gets keys from others.
 	joinPause = time.Second
 )
@@ -84,6 +86,8 @@
 	changedAt map[string]time.Duration
 	members   map[string]int
 	movedAt   map[string]time.Duration
+	// silentUntil is until when a target gets no keys because it left calls unanswered.
+	silentUntil map[string]time.Duration
 }
 
 type holdKey struct {
@@ -109,6 +113,7 @@
 	return &Keeper{
 		state: state, log: log, granter: granter, clock: clock, holds: map[holdKey]*hold{}, seen: map[string]time.Duration{},
 		changedAt: map[string]time.Duration{}, members: map[string]int{}, movedAt: map[string]time.Duration{},
+		silentUntil: map[string]time.Duration{},
 	}
 }
 
@@ -157,7 +162,7 @@
 			since = now
 			k.seen[target.GetId()] = now
 		}
-		candidates = append(candidates, Candidate{Registration: target, Unfit: target.GetCold() || now-since < joinPause})
+		candidates = append(candidates, Candidate{Registration: target, Unfit: target.GetCold() || now-since < joinPause || now < k.silentUntil[target.GetId()]})
 	}
 	if k.members[service] != len(candidates) {
 		k.members[service], k.changedAt[service] = len(candidates), now
@@ -267,6 +272,7 @@
 		if k.clock() < h.end {
 			return min(retryPause, h.end-k.clock())
 		}
+		k.distrust(r.GetOwner())
 		return k.assign(ctx, service, r, table, candidates, r.GetOwner(), "owner silent until its hold ended")
 	}
 	g := k.call(owner, r)
@@ -300,6 +306,13 @@
 	return retryPause
 }
 
+// distrust keeps keys away from a target that is registered but does not answer.
+func (k *Keeper) distrust(target string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silentUntil[target] = k.clock() + silentPause
+}
+
 // release takes keys back from an owner that is to lose them.
 func (k *Keeper) release(
 	ctx context.Context, service string, r *schemav1.KeyRange, h *hold, table *schemav1.KeyTable, candidates []Candidate,
--- /dev/null
+++ b/pkg/grants/keeper_test.go
@@ -0,0 +1,211 @@
+package grants
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"almondrock.example/almondrock/pkg/registry"
+	"almondrock.example/almondrock/pkg/routes"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/upstream"
+)
+
+// bed runs a keeper against targets in memory, on a clock of its own.
+type bed struct {
+	mu    sync.Mutex
+	now   time.Duration
+	state *registry.State
+	lead  bool
+	// until is when the grant of a range ends at a target, by target and first key.
+	until map[string]map[uint32]time.Duration
+	// silent targets get calls that time out after they may have arrived; dead ones cannot be connected to.
+	silent, dead map[string]bool
+	// heldBy checks that no two targets hold a key at once.
+	violations []string
+	released   int
+	keeper     *Keeper
+}
+
+func newBed(targets []*schemav1.Registration) *bed {
+	b := &bed{
+		state: registry.NewState(), lead: true, until: map[string]map[uint32]time.Duration{}, silent: map[string]bool{}, dead: map[string]bool{},
+	}
+	for _, t := range targets {
+		t.Service = "files"
+		t.Address = t.GetId()
+		b.mustApply(&schemav1.RegistryCommand{Registration: t})
+	}
+	b.keeper = New(b.state, b, b, b.clock)
+	return b
+}
+
+func (b *bed) clock() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now
+}
+
+func (b *bed) mustApply(c *schemav1.RegistryCommand) *schemav1.RegistryResult {
+	encoded, err := proto.Marshal(c)
+	Expect(err).NotTo(HaveOccurred())
+	result := &schemav1.RegistryResult{}
+	Expect(proto.Unmarshal(b.state.Apply(0, encoded), result)).To(Succeed())
+	return result
+}
+
+// Propose implements Log.
+func (b *bed) Propose(_ context.Context, c *schemav1.RegistryCommand) (*schemav1.RegistryResult, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.mustApply(c), nil
+}
+
+// Leads implements Log.
+func (b *bed) Leads() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lead
+}
+
+// Grant implements Granter.
+func (b *bed) Grant(_ context.Context, g *Grant) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.dead[g.Target] {
+		return &upstream.Error{Stage: upstream.NotSent, Cause: context.DeadlineExceeded}
+	}
+	for target, held := range b.until {
+		if target != g.Target && held[g.First] > b.now {
+			b.violations = append(b.violations, target+" still holds a key granted to "+g.Target)
+		}
+	}
+	if b.until[g.Target] == nil {
+		b.until[g.Target] = map[uint32]time.Duration{}
+	}
+	// The target's clock may run slow by the whole error.
+	b.until[g.Target][g.First] = b.now + g.Hold + time.Duration(float64(g.Hold)*clockError)
+	if b.silent[g.Target] {
+		return &upstream.Error{Stage: upstream.Sent, Cause: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+// Release implements Granter.
+func (b *bed) Release(_ context.Context, g *Grant) (string, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.dead[g.Target] || b.silent[g.Target] {
+		return "", &upstream.Error{Stage: upstream.NotSent, Cause: context.DeadlineExceeded}
+	}
+	delete(b.until[g.Target], g.First)
+	b.released++
+	return "handover", nil
+}
+
+// run advances the clock, with a step of the keeper each 50 ms.
+func (b *bed) run(d time.Duration) {
+	ctx := context.Background()
+	for end := b.clock() + d; b.clock() < end; {
+		b.keeper.Step(ctx, map[string]routes.Service{"files": {Name: "files", Exclusive: true}})
+		b.keeper.Wait()
+		b.mu.Lock()
+		b.now += 50 * time.Millisecond
+		b.mu.Unlock()
+	}
+	Expect(b.violations).To(BeEmpty())
+}
+
+func (b *bed) rangesOf(target string) int {
+	count := 0
+	for _, r := range b.state.Keys("files").GetRanges() {
+		if r.GetOwner() == target && r.GetState() == schemav1.RangeState_RANGE_STATE_ACTIVE {
+			count++
+		}
+	}
+	return count
+}
+
+var _ = Describe("Keeper", func() {
+	It("divides the keys once the targets have settled, and keeps them granted", func() {
+		b := newBed(owners(3))
+		b.run(20 * time.Second)
+		for _, t := range []string{"t0", "t1", "t2"} {
+			Expect(b.rangesOf(t)).To(Equal(rangesPerOwner))
+			for _, until := range b.until[t] {
+				Expect(until).To(BeNumerically(">", b.now), "a grant ran out")
+			}
+		}
+	})
+
+	It("moves the keys of a dead target only after its hold is certainly over, and then within seconds", func() {
+		b := newBed(owners(3))
+		b.run(5 * time.Second)
+		b.dead["t0"] = true
+		b.run(certain + renewEvery + time.Second)
+		Expect(b.rangesOf("t0")).To(BeZero())
+		Expect(b.rangesOf("t1") + b.rangesOf("t2")).To(Equal(3 * rangesPerOwner))
+	})
+
+	It("counts a call without an answer as arrived, so that a silent target keeps its keys for a whole hold more", func() {
+		b := newBed(owners(2))
+		b.run(5 * time.Second)
+		b.silent["t0"] = true
+		b.run(certain + renewEvery + tryFor + time.Second)
+		Expect(b.rangesOf("t0")).To(BeZero())
+		Expect(b.rangesOf("t1")).To(Equal(2 * rangesPerOwner))
+	})
+
+	It("takes the keys of a draining target back and passes them on at once", func() {
+		targets := owners(3)
+		b := newBed(targets)
+		b.run(5 * time.Second)
+		leaving := proto.Clone(targets[0]).(*schemav1.Registration)
+		leaving.Life = schemav1.Life_LIFE_DRAINING
+		b.mustApply(&schemav1.RegistryCommand{Registration: leaving})
+		b.run(500 * time.Millisecond)
+		Expect(b.rangesOf("t0")).To(BeZero())
+		Expect(b.rangesOf("t1") + b.rangesOf("t2")).To(Equal(3 * rangesPerOwner))
+		Expect(b.released).To(Equal(rangesPerOwner))
+	})
+
+	It("gives the keys of a target that started again a higher fence", func() {
+		targets := owners(2)
+		b := newBed(targets)
+		b.run(5 * time.Second)
+		before := b.state.Keys("files").GetRanges()[0].GetFence()
+		again := proto.Clone(targets[0]).(*schemav1.Registration)
+		again.StartedUnixMs++
+		b.mu.Lock()
+		delete(b.until, "t0")
+		b.mu.Unlock()
+		b.mustApply(&schemav1.RegistryCommand{Registration: again})
+		b.run(time.Second)
+		first := b.state.Keys("files").GetRanges()[0]
+		Expect(first.GetFence()).To(BeNumerically(">", before))
+		Expect(first.GetState()).To(Equal(schemav1.RangeState_RANGE_STATE_ACTIVE))
+	})
+
+	It("takes every grant as fresh when it takes over from another leader", func() {
+		b := newBed(owners(2))
+		b.run(5 * time.Second)
+		b.dead["t0"] = true
+		b.keeper = New(b.state, b, b, b.clock)
+		b.run(certain - 200*time.Millisecond)
+		Expect(b.rangesOf("t0")).To(Equal(rangesPerOwner), "the last leader may have renewed just before")
+		b.run(time.Second)
+		Expect(b.rangesOf("t0")).To(BeZero())
+	})
+
+	It("calls no target without the leader's lease", func() {
+		b := newBed(owners(2))
+		b.lead = false
+		b.run(5 * time.Second)
+		Expect(b.until).To(BeEmpty())
+		Expect(b.state.Keys("files")).To(BeNil())
+	})
+})
--- /dev/null
+++ b/pkg/grants/plan_test.go
@@ -0,0 +1,100 @@
+package grants
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+func owners(count int) []*schemav1.Registration {
+	var all []*schemav1.Registration
+	for i := range count {
+		all = append(all, &schemav1.Registration{Id: fmt.Sprintf("t%d", i), StartedUnixMs: 1, Slots: 2, Life: schemav1.Life_LIFE_READY})
+	}
+	return all
+}
+
+var _ = Describe("Split", func() {
+	It("covers each key once and gives all owners the same number of ranges", func() {
+		for _, count := range []int{1, 3, 8, 31} {
+			ranges := Split(owners(count))
+			next := uint32(0)
+			held := map[string]int{}
+			for _, r := range ranges {
+				Expect(r.GetFirst()).To(Equal(next))
+				next = r.GetLast() + 1
+				held[r.GetOwner()]++
+			}
+			Expect(next).To(BeEquivalentTo(Keys))
+			for _, n := range held {
+				Expect(n).To(Equal(rangesPerOwner))
+			}
+		}
+	})
+
+	It("gives neighbouring ranges different owners, because busy keys are close to one another", func() {
+		ranges := Split(owners(8))
+		for i := 1; i < len(ranges); i++ {
+			Expect(ranges[i].GetOwner()).NotTo(Equal(ranges[i-1].GetOwner()))
+		}
+	})
+})
+
+func candidates(targets []*schemav1.Registration) []Candidate {
+	var all []Candidate
+	for _, t := range targets {
+		all = append(all, Candidate{Registration: t})
+	}
+	return all
+}
+
+var _ = Describe("Owner", func() {
+	It("prefers the fit target with the fewest keys for its slots", func() {
+		targets := owners(4)
+		ranges := Split(targets[:3])
+		all := candidates(targets)
+		Expect(Owner(ranges, all, "").GetId()).To(Equal("t3"))
+		all[3].Unfit = true
+		Expect(Owner(ranges, all, "").GetId()).To(Equal("t0"))
+		Expect(Owner(ranges, all, "t0").GetId()).To(Equal("t1"))
+		Expect(Owner(ranges, all[3:], "").GetId()).To(Equal("t3"), "an unfit target is better than none")
+		Expect(Owner(ranges, nil, "")).To(BeNil())
+	})
+})
+
+var _ = Describe("Rebalance", func() {
+	active := func(ranges []*schemav1.KeyRange) []*schemav1.KeyRange {
+		for _, r := range ranges {
+			r.State = schemav1.RangeState_RANGE_STATE_ACTIVE
+		}
+		return ranges
+	}
+
+	It("moves one range at a time to a target that joined, until the difference is one range", func() {
+		targets := owners(9)
+		ranges := active(Split(targets[:8]))
+		moves := 0
+		for ; moves < 20; moves++ {
+			r, target := Rebalance(ranges, candidates(targets))
+			if r == nil {
+				break
+			}
+			Expect(target.GetId()).To(Equal("t8"))
+			r.Owner = target.GetId()
+		}
+		Expect(moves).To(Equal(2))
+	})
+
+	It("moves nothing while a range is on its way or among equals", func() {
+		targets := owners(9)
+		ranges := active(Split(targets[:8]))
+		ranges[5].State = schemav1.RangeState_RANGE_STATE_GRANTING
+		r, _ := Rebalance(ranges, candidates(targets))
+		Expect(r).To(BeNil())
+		r, _ = Rebalance(active(Split(targets)), candidates(targets))
+		Expect(r).To(BeNil())
+	})
+})
--- /dev/null
+++ b/pkg/logging/suite_test.go
@@ -0,0 +1,13 @@
+package logging
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLogging(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Logging Suite")
+}
