Reset the connection of a request that is given up

Change: an exchange without a good end closes with a reset, which drops undelivered bytes. Conclusion: holds count from the end of a call, which is now also the last moment at which it can arrive.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -95,6 +95,16 @@
 	keepAlive time.Duration
 }
 
+// reset closes the connection and drops what was written and not yet delivered. An ordinary close would go on sending it, so
+// that a request could arrive after it was given up, when a partition has healed.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// The connection is closed in any case; without the option it is closed as usual.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // Request is one request to one target.
 type Request struct {
 	// Pool names the target; connections are shared by requests with the same pool only.
@@ -136,10 +146,10 @@
 	if err != nil {
 		return nil, &Error{Stage: NotSent, Address: r.Address, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	stop := context.AfterFunc(ctx, cn.reset)
 	fail := func(stage Stage, err error) (*Response, error) {
 		stop()
-		cn.Close()
+		cn.reset()
 		return nil, &Error{Stage: stage, Address: r.Address, Reused: cn.reused, Cause: err}
 	}
 	if err := cn.SetDeadline(r.Deadline); err != nil {
@@ -272,7 +282,7 @@
 		}
 		if err != nil {
 			// The target must not take a part for the whole.
-			cn.Close()
+			cn.reset()
 		}
 		return err
 	}
@@ -389,7 +399,7 @@
 func (r *Response) Abort() {
 	r.once.Do(func() {
 		r.stop()
-		r.conn.Close()
+		r.conn.reset()
 	})
 }
 
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -196,6 +197,20 @@
 		Eventually(closed).Should(BeClosed())
 	})
 
+	It("resets the connection of a request that is given up, so that nothing of it arrives later", func() {
+		ended := make(chan error, 1)
+		address := script(func(_ net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, err := r.ReadByte()
+			ended <- err
+		})
+		r := request(address, "1")
+		r.Deadline = time.Now().Add(50 * time.Millisecond)
+		_, err := get(c, r)
+		Expect(err).To(HaveField("Stage", Sent))
+		Eventually(ended).Should(Receive(MatchError(syscall.ECONNRESET)))
+	})
+
 	It("gives up an idle connection before the target's stated timeout", func() {
 		address := answerAll(func(r *http.Request, _ string) string {
 			return "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nRequest-Id: " + r.Header.Get("Request-Id") + "\r\nContent-Length: 0\r\n\r\n"
