Refuse a route without a timeout, and replace silent voters within 1.5 s

Change: such configurations are refused, and two routes at one place; a voter that is silent for 1.5 s gives way to a learner, and a host that was removed asks to join after 1 s without a leader.

--- a/pkg/registrar/membership.go
+++ b/pkg/registrar/membership.go
@@ -11,9 +11,9 @@
 const (
 	// replacedSilence is the silence after which a voter gives way to a member that has its address: its disk is gone.
 	replacedSilence = 300 * time.Millisecond
-	// voterSilence is the silence after which a voter gives way to a learner. It is above the freezes and power losses
-	// from which hosts return by themselves.
-	voterSilence = 12 * time.Second
+	// voterSilence is the silence after which a voter gives way to a learner. It is over ten heartbeats. A host that is
+	// gone for good must be replaced before the next loss, which may come 4 s after its successor has started.
+	voterSilence = 1500 * time.Millisecond
 	// learnerSilence is the silence after which a learner that is not replaced is forgotten.
 	learnerSilence = 60 * time.Second
 	// answering is the silence below which a member counts as present.
--- a/pkg/registrar/membership_test.go
+++ b/pkg/registrar/membership_test.go
@@ -42,7 +42,7 @@
 		Expect(reason).To(Equal("voter that lost its disk"))
 	})
 
-	It("replaces a voter that stays away only after the time from which hosts return by themselves", func() {
+	It("replaces a voter that stays away, and only after several heartbeats", func() {
 		members := append(three(), learner(4, "d", true))
 		members[1].Silent = voterSilence / 2
 		next, _ := nextChange(members, 1, 3)
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -42,7 +42,7 @@
 	// dialBackOff bounds the pause between dials. After all hosts were down at once, each pause delays the next leader.
 	dialBackOff = 100 * time.Millisecond
 	// lonely is how long a member waits for a leader before it asks whether it is still a member.
-	lonely = 3 * time.Second
+	lonely = time.Second
 	// forwardTimeout bounds one call to the leader, below the second after which callers turn to another host.
 	forwardTimeout = 800 * time.Millisecond
 	// retryPause is the pause after a call that found no leader.
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -115,10 +115,17 @@
 	if c.Revision == 0 {
 		return &InvalidError{Reason: "the version is missing"}
 	}
+	places := map[string]string{}
 	for i := range c.Routes {
-		if reason := c.checkRoute(&c.Routes[i]); reason != "" {
-			return &InvalidError{Route: c.Routes[i].Name, Reason: reason}
+		r := &c.Routes[i]
+		if reason := c.checkRoute(r); reason != "" {
+			return &InvalidError{Route: r.Name, Reason: reason}
 		}
+		place := strings.ToLower(r.Host) + r.Prefix
+		if other, ok := places[place]; ok {
+			return &InvalidError{Route: r.Name, Reason: fmt.Sprintf("the route %q has the same host and path prefix", other)}
+		}
+		places[place] = r.Name
 	}
 	return nil
 }
@@ -133,8 +140,8 @@
 		return "the kind is unknown"
 	case r.Timeout > maxTimeout:
 		return fmt.Sprintf("the timeout is over %v", maxTimeout)
-	case r.Timeout < 0:
-		return "the timeout is negative"
+	case r.Timeout <= 0:
+		return "the timeout is missing"
 	}
 	total := 0.0
 	for _, part := range r.Parts {
--- a/pkg/routes/routes_test.go
+++ b/pkg/routes/routes_test.go
@@ -13,7 +13,7 @@
 		Services: map[string]Service{"desk": {Name: "desk"}, "files": {Name: "files"}},
 		Routes: []Route{
 			{Name: "all", Host: "Desk.example", Prefix: "/", Kind: Safe, Timeout: time.Second, Parts: []Part{{"desk", 1}}},
-			{Name: "files", Host: "desk.example", Prefix: "/files/", Kind: Download, Parts: []Part{{"files", 75}, {"desk", 25}}},
+			{Name: "files", Host: "desk.example", Prefix: "/files/", Kind: Download, Timeout: time.Second, Parts: []Part{{"files", 75}, {"desk", 25}}},
 		},
 	}
 }
@@ -34,6 +34,8 @@
 		Entry("prefix without a slash", func(c *Configuration) { c.Routes[0].Prefix = "files/" }, "slash"),
 		Entry("empty host", func(c *Configuration) { c.Routes[0].Host = "" }, "host"),
 		Entry("unknown kind", func(c *Configuration) { c.Routes[0].Kind = 0 }, "kind"),
+		Entry("no timeout", func(c *Configuration) { c.Routes[1].Timeout = 0 }, "timeout is missing"),
+		Entry("two routes at one place", func(c *Configuration) { c.Routes[1].Prefix = "/" }, "same host and path prefix"),
 		Entry("no version", func(c *Configuration) { c.Revision = 0 }, "version"),
 	)
 })
