--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -48,6 +48,15 @@
 	Replaced
 )
 
+// String implements fmt.Stringer.
+func (o Outcome) String() string {
+	names := [...]string{"", "answered", "failed", "shed", "broken", "silent", "cancelled", "outrun", "replaced"}
+	if o < 0 || int(o) >= len(names) {
+		return "unknown"
+	}
+	return names[o]
+}
+
 // Smoothing and back-off of what is known about a target.
 const (
 	// paceWeight is the weight of one observation. The duration of work varies by its own size, so that an estimate needs
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -96,6 +96,7 @@
 func (x *exchange) finish(choice *dispatch.Choice, result dispatch.Result) {
 	now := x.host.now()
 	x.host.core.Finish(now, choice, result)
+	x.host.measures.noteAttempt(choice.Service, result.Outcome, result.Took)
 	x.host.core.Serve(now)
 	x.host.noteLoad()
 }
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -108,11 +108,13 @@
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+options.Protocol.ReadyPath, h.serveReady)
-	ready.Handle("GET /metrics", h.measures.handler())
 	h.ready = &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout, ErrorLog: quietLog()}
 	return h
 }
 
+// Metrics serves the measures of this host as text.
+func (h *Host) Metrics() http.Handler { return h.measures.registry.Handler }
+
 // SetSeeds replaces the addresses at which registry hosts are looked for.
 func (h *Host) SetSeeds(seeds []string) {
 	copied := slices.Clone(seeds)
--- a/pkg/entry/measures.go
+++ b/pkg/entry/measures.go
@@ -3,11 +3,11 @@
 import (
 	"io"
 	"log"
-	"net/http"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"almondrock.example/almondrock/pkg/dispatch"
 	"almondrock.example/almondrock/pkg/metrics"
 )
 
@@ -22,8 +22,6 @@
 	return &measures{registry: registry, scope: registry.Scope}
 }
 
-func (m *measures) handler() http.Handler { return m.registry.Handler }
-
 // seconds are the buckets of request times: the objectives of callers lie between a tenth of a second and seconds.
 var seconds = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
 
@@ -34,5 +32,11 @@
 	scope.Histogram(metrics.RequestSeconds, seconds).RecordDuration(took)
 }
 
+// noteAttempt counts one attempt at a target.
+func (m *measures) noteAttempt(service string, outcome dispatch.Outcome, took time.Duration) {
+	scope := m.scope.Tagged(map[string]string{metrics.TagService: service, metrics.TagResult: outcome.String()})
+	scope.Histogram(metrics.TargetSeconds, seconds).RecordDuration(took)
+}
+
 // quietLog drops net/http's lines about broken connections of callers, which each request's own line covers.
 func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -18,6 +18,7 @@
 	Refusals            = "refusals_total"
 	RequestSeconds      = "request_seconds"
 	TargetSeconds       = "target_seconds"
+	OrderSeconds        = "order_seconds"
 	QueueSeconds        = "queue_seconds"
 	QueueLength         = "queue_length"
 	InFlight            = "in_flight"
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"almondrock.example/almondrock/pkg/grants"
 	"almondrock.example/almondrock/pkg/member"
+	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/raft"
 	"almondrock.example/almondrock/pkg/registry"
 	"almondrock.example/almondrock/pkg/replication"
@@ -80,6 +82,7 @@
 	fresh    bool
 	client   rpc.Client
 	server   *rpc.Server
+	metrics  *metrics.Registry
 	watchers watchers
 	beats    beats
 	ctx      context.Context
@@ -110,7 +113,7 @@
 	r := &Registrar{
 		options: options, state: registry.NewState(), log: log, fresh: member.IsFresh(replication.State(state)),
 		client: rpc.NewClient(rpc.ClientOptions{BackoffMax: dialBackOff}), server: rpc.NewServer(rpc.ServerOptions{}),
-		started: time.Now(), failed: make(chan error, 1),
+		started: time.Now(), failed: make(chan error, 1), metrics: metrics.New(options.Name, options.DataCentre),
 	}
 	first := uint64(0)
 	if options.First && slices.Contains(options.Seeds, options.PeerAddress) {
@@ -140,6 +143,9 @@
 	return slices.Clone(r.options.Seeds)
 }
 
+// Metrics serves the measures of this host as text.
+func (r *Registrar) Metrics() http.Handler { return r.metrics.Handler }
+
 // Failed delivers the error with which the replica ended by itself.
 func (r *Registrar) Failed() <-chan error { return r.failed }
 
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/member"
+	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/raft"
 	"almondrock.example/almondrock/pkg/registry"
 	"almondrock.example/almondrock/pkg/replication"
@@ -202,19 +204,31 @@
 func (r *Registrar) order(ctx context.Context, command *schemav1.RegistryCommand) (*schemav1.RegistryResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	began := time.Now()
 	for {
 		result, err := r.Propose(ctx, command)
 		if err == nil {
+			r.note("committed", began)
 			return result, nil
 		}
 		select {
 		case <-ctx.Done():
+			r.note("failed", began)
 			return nil, err
 		case <-time.After(retryPause):
 		}
 	}
 }
 
+// note counts one order and the time until its outcome.
+func (r *Registrar) note(result string, began time.Time) {
+	scope := r.metrics.Scope.Tagged(map[string]string{metrics.TagResult: result})
+	scope.Histogram(metrics.OrderSeconds, orderSeconds).RecordDuration(time.Since(began))
+}
+
+// orderSeconds are the buckets of order times, from one sync to the time after which callers turn to another host.
+var orderSeconds = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 10)
+
 // beats remembers the order of announcements.
 type beats struct {
 	mu   sync.Mutex
