Spread the key ranges of a lost target over the others

Change: decisions under way count; a target that fails twice gets no keys. The lines of a request name the owner and its state, refusals of targets, and what the last choice was based on. Tests: the keeper's test fails before and passes after.

--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -61,8 +61,9 @@
 	// failure is the last answer of a target that was held back for another attempt.
 	failure *answer
 	target  string
-	// viewVersion and viewAge are what the last choice was based on.
+	// viewVersion is the view that the last choice was based on; last is that choice, for the log.
 	viewVersion uint64
+	last        dispatch.Choice
 }
 
 func (x *exchange) left() time.Duration { return x.deadline - x.host.now() }
@@ -151,6 +152,7 @@
 	for {
 		changed := x.host.changed.wait()
 		v := x.host.current()
+		x.viewVersion = v.version
 		r, ok := v.owner(x.service, x.key)
 		if !ok {
 			return "", dispatch.NoTarget
@@ -163,6 +165,8 @@
 		}
 		patience := limit - x.host.now()
 		if patience <= 0 {
+			klog.InfoS("key has no owner that may be asked", "request", x.id, "service", x.service, "first", r.GetFirst(), "last", r.GetLast(),
+				"owner", r.GetOwner(), "ownerLife", owner.GetLife(), "fence", r.GetFence(), "state", r.GetState(), "viewVersion", v.version)
 			return "", dispatch.NoTarget
 		}
 		select {
@@ -178,7 +182,7 @@
 func (x *exchange) attempt(ctx context.Context, choice *dispatch.Choice) (result string, again bool) {
 	t := x.sendHedged(ctx, choice)
 	choice = t.choice
-	x.target = choice.ID
+	x.target, x.last = choice.ID, *choice
 	if t.answer == nil {
 		return x.failedSend(ctx, t)
 	}
@@ -228,6 +232,8 @@
 		outcome.Outcome = dispatch.Replaced
 	}
 	x.finish(choice, outcome)
+	klog.InfoS("attempt refused", "request", x.id, "target", choice.ID, "status", a.response.StatusCode, "inFlight", choice.InFlight,
+		"reportAge", choice.ReportAge, "after", outcome.Took)
 	if !x.mayResend(choice) {
 		return x.giveUp(dispatch.Refused), false
 	}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -56,7 +56,8 @@
 		took := h.now() - started
 		h.measures.note(x.service, result, took)
 		klog.InfoS("request", "id", id, "result", result, "route", route.Name, "service", x.service, "target", x.target,
-			"sends", x.sends, "hedges", x.hedges, "unsent", x.unsent, "took", took, "revision", v.table.Configuration.Revision,
+			"sends", x.sends, "hedges", x.hedges, "unsent", x.unsent, "took", took,
+			"expected", x.last.Expected, "inFlight", x.last.InFlight, "reportAge", x.last.ReportAge, "revision", v.table.Configuration.Revision,
 			"viewVersion", x.viewVersion, "viewAge", h.now()-time.Duration(h.confirmedAt.Load()))
 	}()
 	result = x.run(r.Context())
--- a/pkg/grants/keeper.go
+++ b/pkg/grants/keeper.go
@@ -86,6 +86,8 @@
 	changedAt map[string]time.Duration
 	members   map[string]int
 	movedAt   map[string]time.Duration
+	// pending has the chosen owners of ranges whose choice is not committed yet.
+	pending map[holdKey]string
 	// silentUntil is until when a target gets no keys because it left calls unanswered.
 	silentUntil map[string]time.Duration
 }
@@ -113,7 +115,7 @@
 	return &Keeper{
 		state: state, log: log, granter: granter, clock: clock, holds: map[holdKey]*hold{}, seen: map[string]time.Duration{},
 		changedAt: map[string]time.Duration{}, members: map[string]int{}, movedAt: map[string]time.Duration{},
-		silentUntil: map[string]time.Duration{},
+		silentUntil: map[string]time.Duration{}, pending: map[holdKey]string{},
 	}
 }
 
@@ -302,6 +304,8 @@
 	}
 	if !h.failing {
 		h.failing, h.failingSince = true, k.clock()
+	} else {
+		k.distrust(r.GetOwner())
 	}
 	return retryPause
 }
@@ -345,10 +349,12 @@
 	if current := k.state.Keys(service); current != nil {
 		table = current
 	}
-	next := Owner(table.GetRanges(), candidates, avoid)
+	key := holdKey{service, r.GetFirst()}
+	next := k.plan(key, table, candidates, avoid)
 	if next == nil {
 		return retryPause
 	}
+	defer k.planned(key)
 	change := &schemav1.RangeChange{Service: service, ExpectedFence: r.GetFence(), Range: &schemav1.KeyRange{
 		First: r.GetFirst(), Last: r.GetLast(), Owner: next.GetId(), OwnerStartedUnixMs: next.GetStartedUnixMs(),
 		State: schemav1.RangeState_RANGE_STATE_GRANTING,
@@ -363,6 +369,30 @@
 	return 0
 }
 
+// plan chooses the next owner of a range, taking into account the choices for other ranges that are not committed yet.
+// Otherwise all ranges of a lost owner would go to the same target.
+func (k *Keeper) plan(key holdKey, table *schemav1.KeyTable, candidates []Candidate, avoid string) *schemav1.Registration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ranges := slices.Clone(table.GetRanges())
+	for i, r := range ranges {
+		if owner, ok := k.pending[holdKey{key.service, r.GetFirst()}]; ok {
+			ranges[i] = &schemav1.KeyRange{First: r.GetFirst(), Last: r.GetLast(), Owner: owner}
+		}
+	}
+	next := Owner(ranges, candidates, avoid)
+	if next != nil {
+		k.pending[key] = next.GetId()
+	}
+	return next
+}
+
+func (k *Keeper) planned(key holdKey) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.pending, key)
+}
+
 func (k *Keeper) setState(ctx context.Context, service string, r *schemav1.KeyRange, state schemav1.RangeState) {
 	change := &schemav1.RangeChange{Service: service, ExpectedFence: r.GetFence(), Range: &schemav1.KeyRange{
 		First: r.GetFirst(), Last: r.GetLast(), Owner: r.GetOwner(), OwnerStartedUnixMs: r.GetOwnerStartedUnixMs(),
--- a/pkg/grants/keeper_test.go
+++ b/pkg/grants/keeper_test.go
@@ -60,6 +60,8 @@
 
 // Propose implements Log.
 func (b *bed) Propose(_ context.Context, c *schemav1.RegistryCommand) (*schemav1.RegistryResult, error) {
+	// Decisions for several ranges are under way at once, as over a network.
+	time.Sleep(time.Millisecond)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.mustApply(c), nil
@@ -151,6 +153,16 @@
 		Expect(b.rangesOf("t1") + b.rangesOf("t2")).To(Equal(3 * rangesPerOwner))
 	})
 
+	It("spreads the keys of a lost target over the others", func() {
+		b := newBed(owners(4))
+		b.run(5 * time.Second)
+		b.dead["t0"] = true
+		b.run(certain + renewEvery + time.Second)
+		for _, t := range []string{"t1", "t2", "t3"} {
+			Expect(b.rangesOf(t)).To(Equal(rangesPerOwner + 1))
+		}
+	})
+
 	It("counts a call without an answer as arrived, so that a silent target keeps its keys for a whole hold more", func() {
 		b := newBed(owners(2))
 		b.run(5 * time.Second)
