Give each of two hedged sends its own request

Cause (race detector on the new tests of the entry host): the second send's request was assigned to the variable that the first send's goroutine reads, so that a first send that started late could carry the second one's target. Change: a variable of its own. Tests of the entry host: hedges, single sends, stops, keys on their way, callers that leave.

--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -85,8 +85,8 @@
 		return t
 	}
 	second, cancelSecond := context.WithCancel(ctx)
-	request = x.request(hedge)
-	go func() { tries <- x.send(second, hedge, request) }()
+	repeated := x.request(hedge)
+	go func() { tries <- x.send(second, hedge, repeated) }()
 	cancels := map[*dispatch.Choice]context.CancelFunc{choice: cancelFirst, hedge: cancelSecond}
 	t := <-tries
 	if !t.isGood() && ctx.Err() == nil {
--- /dev/null
+++ b/pkg/entry/host_test.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"almondrock.example/almondrock/pkg/dispatch"
+	"almondrock.example/almondrock/pkg/routes"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+var testProtocol = Protocol{
+	RequestID: "Id", TimeLeft: "Left-Ms", Key: "Key", Target: "Target", NotRun: "Not-Run", Proof: "Proof", Load: "Load",
+	ParseLoad: func(string) (dispatch.Load, bool) { return dispatch.Load{}, false },
+	TimeLeftOf: func(field string) (time.Duration, bool) {
+		ms, err := strconv.Atoi(field)
+		return time.Duration(ms) * time.Millisecond, err == nil
+	},
+	ReadyPath: "/ready",
+}
+
+func address() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startHost starts an entry host without a registry; tests put views in force themselves.
+func startHost() *Host {
+	h := New(Options{
+		Name: "e", DataCentre: "n", Region: "east", Regions: map[string]string{"n": "east"}, Listen: address(), Ready: address(),
+		Load: address(), Seeds: []string{address()}, Protocol: testProtocol, Grace: 2 * time.Second,
+		Dispatch: dispatch.Options{RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second},
+		Decode: func(*schemav1.RouteDocument) (*routes.Configuration, error) {
+			c := &routes.Configuration{Revision: 1, Services: map[string]routes.Service{"desk": {Name: "desk"}, "files": {Name: "files", Exclusive: true}}}
+			for prefix, kind := range map[string]routes.Kind{"/safe/": routes.Safe, "/unsafe/": routes.Unsafe, "/files/": routes.Download} {
+				service := "desk"
+				if prefix == "/files/" {
+					service = "files"
+				}
+				c.Routes = append(c.Routes, routes.Route{
+					Name: prefix, Host: "a", Prefix: prefix, Kind: kind, Objective: 600 * time.Millisecond, Timeout: 2 * time.Second, MaxTargets: 2,
+					Parts: []routes.Part{{Service: service, Weight: 1}},
+				})
+			}
+			return c, nil
+		},
+	})
+	Expect(h.Start()).To(Succeed())
+	DeferCleanup(h.Kill)
+	return h
+}
+
+// target is a stand-in that answers as its function says; nil answers well.
+type testTarget struct {
+	id, service string
+	runs        atomic.Int64
+	cancelled   atomic.Int64
+	reply       atomic.Pointer[http.HandlerFunc]
+	server      *httptest.Server
+}
+
+func startTarget(id, service string) *testTarget {
+	t := &testTarget{id: id, service: service}
+	t.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t.runs.Add(1)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Proof", id)
+		if reply := t.reply.Load(); reply != nil {
+			(*reply)(w, r)
+			return
+		}
+		fmt.Fprint(w, "by ", id)
+	}))
+	DeferCleanup(t.server.CloseClientConnections)
+	return t
+}
+
+func (t *testTarget) answer(f http.HandlerFunc) { t.reply.Store(&f) }
+
+// hang waits until the request is cancelled.
+func (t *testTarget) hang(_ http.ResponseWriter, r *http.Request) {
+	<-r.Context().Done()
+	t.cancelled.Add(1)
+}
+
+func put(h *Host, version uint64, keys []*schemav1.KeyTable, targets ...*testTarget) {
+	update := &schemav1.ViewUpdate{Version: version, Full: true, Routes: &schemav1.RouteDocument{Revision: 1}, Keys: keys, LeaderKnown: true}
+	for _, t := range targets {
+		update.Targets = append(update.Targets, &schemav1.Registration{
+			Id: t.id, StartedUnixMs: 1, Service: t.service, Address: strings.TrimPrefix(t.server.URL, "http://"), DataCentre: "n", Slots: 2,
+			Life: schemav1.Life_LIFE_READY,
+		})
+	}
+	h.accept(update, true)
+}
+
+func ask(h *Host, path string, header ...string) (int, string, http.Header) {
+	method := "GET"
+	if strings.HasPrefix(path, "/unsafe/") {
+		method = "POST"
+	}
+	r, err := http.NewRequest(method, "http://"+h.options.Listen+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "a"
+	r.Header.Set("Id", "1")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), response.Header
+}
+
+var _ = Describe("Host", func() {
+	It("answers 503 with a time to come back, and is not ready, until it has a configuration", func() {
+		h := startHost()
+		status, _, header := ask(h, "/safe/")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+		ready := func() int {
+			response, err := http.Get("http://" + h.options.Ready + "/ready")
+			Expect(err).NotTo(HaveOccurred())
+			response.Body.Close()
+			return response.StatusCode
+		}
+		Expect(ready()).To(Equal(http.StatusServiceUnavailable))
+		put(h, 1, nil)
+		Expect(ready()).To(Equal(http.StatusOK))
+	})
+
+	It("never puts an older view in force", func() {
+		h := startHost()
+		t := startTarget("t", "desk")
+		put(h, 5, nil, t)
+		put(h, 4, nil)
+		status, body, _ := ask(h, "/safe/")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("by t"))
+	})
+
+	It("asks a second target when the first is silent, and cancels the one that is outrun", func() {
+		h := startHost()
+		a, b := startTarget("a", "desk"), startTarget("b", "desk")
+		put(h, 1, nil, a, b)
+		slow := a
+		for _, t := range []*testTarget{a, b} {
+			t.answer(func(w http.ResponseWriter, r *http.Request) {
+				if a.runs.Load()+b.runs.Load() == 1 {
+					slow = t
+					t.hang(w, r)
+					return
+				}
+				fmt.Fprint(w, "second")
+			})
+		}
+		started := time.Now()
+		status, body, _ := ask(h, "/safe/")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("second"))
+		Expect(time.Since(started)).To(BeNumerically("<", 600*time.Millisecond), "within the objective")
+		Eventually(slow.cancelled.Load).Should(BeEquivalentTo(1))
+	})
+
+	It("sends what is not repeatable once, and says that it may have run", func() {
+		h := startHost()
+		a, b := startTarget("a", "desk"), startTarget("b", "desk")
+		put(h, 1, nil, a, b)
+		for _, t := range []*testTarget{a, b} {
+			t.answer(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		}
+		status, _, _ := ask(h, "/unsafe/")
+		Expect(status).To(Equal(http.StatusBadGateway))
+		Expect(a.runs.Load() + b.runs.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("replaces an answer that breaks off or lacks its proof by that of another target", func() {
+		h := startHost()
+		a, b := startTarget("a", "desk"), startTarget("b", "desk")
+		put(h, 1, nil, a, b)
+		for _, t := range []*testTarget{a, b} {
+			t.answer(func(w http.ResponseWriter, _ *http.Request) {
+				if a.runs.Load()+b.runs.Load() == 1 {
+					w.Header().Set("Content-Length", "100")
+					fmt.Fprint(w, "part")
+					return
+				}
+				fmt.Fprint(w, "whole")
+			})
+		}
+		_, body, _ := ask(h, "/safe/")
+		Expect(body).To(Equal("whole"))
+		for _, t := range []*testTarget{a, b} {
+			t.answer(func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("Proof"); fmt.Fprint(w, "forged") })
+		}
+		status, body, _ := ask(h, "/safe/")
+		Expect(status).To(Equal(http.StatusBadGateway))
+		Expect(body).NotTo(ContainSubstring("forged"))
+	})
+
+	It("waits for a key that is on its way to its next owner", func() {
+		h := startHost()
+		t := startTarget("t", "files")
+		table := func(state schemav1.RangeState) []*schemav1.KeyTable {
+			return []*schemav1.KeyTable{{Service: "files", Ranges: []*schemav1.KeyRange{{First: 0, Last: 65535, Owner: "t", OwnerStartedUnixMs: 1, Fence: 1, State: state}}}}
+		}
+		put(h, 1, table(schemav1.RangeState_RANGE_STATE_GRANTING), t)
+		time.AfterFunc(80*time.Millisecond, func() { put(h, 2, table(schemav1.RangeState_RANGE_STATE_ACTIVE), t) })
+		status, body, _ := ask(h, "/files/", "Key", "7")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("by t"))
+	})
+
+	It("ends the work at a target when the caller leaves", func() {
+		h := startHost()
+		t := startTarget("t", "desk")
+		t.answer(t.hang)
+		put(h, 1, nil, t)
+		ctx, cancel := context.WithCancel(context.Background())
+		r, err := http.NewRequestWithContext(ctx, "GET", "http://"+h.options.Listen+"/safe/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "a"
+		r.Header.Set("Id", "1")
+		time.AfterFunc(100*time.Millisecond, cancel)
+		_, err = http.DefaultClient.Do(r)
+		Expect(err).To(HaveOccurred())
+		Eventually(t.cancelled.Load, "500ms").Should(BeEquivalentTo(1))
+	})
+
+	It("lets requests in flight end at a planned stop, and takes new ones until the balancer has noticed", func() {
+		h := startHost()
+		t := startTarget("t", "desk")
+		put(h, 1, nil, t)
+		t.answer(func(w http.ResponseWriter, _ *http.Request) { time.Sleep(1200 * time.Millisecond); fmt.Fprint(w, "late") })
+		answers := make(chan string, 2)
+		go func() { defer GinkgoRecover(); _, body, _ := ask(h, "/unsafe/"); answers <- body }()
+		Eventually(t.runs.Load).Should(BeEquivalentTo(1))
+		stopped := make(chan struct{})
+		go func() { h.Stop(); close(stopped) }()
+		Eventually(h.leaving.Load).Should(BeTrue())
+		go func() { defer GinkgoRecover(); _, body, _ := ask(h, "/unsafe/"); answers <- body }()
+		Eventually(answers, "3s").Should(Receive(Equal("late")))
+		Eventually(answers, "3s").Should(Receive(Equal("late")))
+		Eventually(stopped, "3s").Should(BeClosed())
+	})
+})
