--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -245,7 +245,10 @@
 		h := startHost()
 		t := startTarget("t", "desk")
 		put(h, 1, nil, t)
-		t.answer(func(w http.ResponseWriter, _ *http.Request) { time.Sleep(1200 * time.Millisecond); fmt.Fprint(w, "late") })
+		t.answer(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(1200 * time.Millisecond)
+			fmt.Fprint(w, "late")
+		})
 		answers := make(chan string, 2)
 		go func() { defer GinkgoRecover(); _, body, _ := ask(h, "/unsafe/"); answers <- body }()
 		Eventually(t.runs.Load).Should(BeEquivalentTo(1))
