Elect within half a second, and send queued requests only where they will be in time

Changes: elections after 0.3 to 0.5 s, heartbeats each 0.1 s; a queued request goes to a target only if its predicted answer is within the objective, or, when that is past, within its time.

--- a/pkg/dispatch/core.go
+++ b/pkg/dispatch/core.go
@@ -193,10 +193,20 @@
 	Rank int
 	// Spare asks for a target with a free slot that is not cold.
 	Spare bool
-	// Left is the time until the request is over, Objective the time until its answer loses value.
+	// Left is the time until the request is over, Objective the time until its answer loses value; not above 0 when it
+	// has.
 	Left, Objective time.Duration
 }
 
+// worthwhile is the longest time for which waiting at a target is worth it: an answer after the objective has lost most of
+// its value, and would take the slot from one that is in time.
+func (r *Request) worthwhile() time.Duration {
+	if r.Objective > 0 {
+		return min(r.Left, r.Objective)
+	}
+	return r.Left
+}
+
 // Choice is a chosen target.
 type Choice struct {
 	Target
@@ -305,7 +315,7 @@
 		return Busy
 	case t.load() >= t.Slots+queueAtTarget:
 		return Busy
-	case t.load() >= t.Slots && t.predict(now, base) > r.Left:
+	case t.load() >= t.Slots && t.predict(now, base) > r.worthwhile():
 		return Late
 	}
 	return ""
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -106,7 +106,7 @@
 func (x *exchange) choiceRequest() *dispatch.Request {
 	return &dispatch.Request{
 		Service: x.service, Route: x.route.Name + x.service, Regions: x.route.HomeRegions, Large: x.route.Kind == routes.Download,
-		Tried: x.tried, Rank: x.route.Rank, Left: x.left(), Objective: x.route.Objective,
+		Tried: x.tried, Rank: x.route.Rank, Left: x.left(), Objective: x.started + x.route.Objective - x.host.now(),
 	}
 }
 
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -31,12 +31,12 @@
 // Timing of the replicated group. Hosts have a quarter of a core, and regions are 24 ms apart both ways.
 const (
 	tick           = 25 * time.Millisecond
-	heartbeatTicks = 5
+	heartbeatTicks = 4
 	// electionMinTicks is over three heartbeats, and over a sync on a disk that is 25 times slower than usual.
-	electionMinTicks = 16
-	electionMaxTicks = 28
+	electionMinTicks = 12
+	electionMaxTicks = 20
 	// learnerHeartbeatTicks is below electionMinTicks, so that a learner knows its leader.
-	learnerHeartbeatTicks = 10
+	learnerHeartbeatTicks = 8
 	// stepInterval is the time between the leader's decisions.
 	stepInterval = 100 * time.Millisecond
 	// joinRetry is the pause between tries to join the group.
