Spread busy neighbouring keys over several owners

Change: entry hosts tell requests by buckets of 64 keys with their calls for views; the leader splits a range and moves dense parts of it while an owner has twice the mean and over 8 requests a second.

--- a/pkg/entry/feed.go
+++ b/pkg/entry/feed.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	update := &schemav1.ViewUpdate{}
-	request := &schemav1.ViewHello{Version: h.current().version, Entry: h.entry}
+	request := &schemav1.ViewHello{Version: h.current().version, Entry: h.entry, KeyLoads: h.keyLoads.take()}
 	return update, h.client.Call(ctx, address, registrar.MethodWatch, request, update)
 }
 
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -76,6 +76,7 @@
 	// loadChanged wakes the load reports.
 	loadChanged chan struct{}
 	leaving     atomic.Bool
+	keyLoads    keyLoads
 	measures    *measures
 
 	splitMu  sync.Mutex
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -83,6 +83,7 @@
 			return x.fail(http.StatusBadRequest, "key-missing")
 		}
 		x.exclusive, x.key = true, uint32(key)
+		x.host.keyLoads.note(x.service, x.key)
 	}
 	limit := configuration.Limits.MaxBody
 	if limit > 0 && x.r.ContentLength > limit {
--- a/pkg/grants/keeper.go
+++ b/pkg/grants/keeper.go
@@ -88,6 +88,8 @@
 	movedAt   map[string]time.Duration
 	// pending has the chosen owners of ranges whose choice is not committed yet.
 	pending map[holdKey]string
+	// heat has the rates of requests by service.
+	heat map[string]*Heat
 	// silentUntil is until when a target gets no keys because it left calls unanswered.
 	silentUntil map[string]time.Duration
 }
@@ -115,7 +117,7 @@
 	return &Keeper{
 		state: state, log: log, granter: granter, clock: clock, holds: map[holdKey]*hold{}, seen: map[string]time.Duration{},
 		changedAt: map[string]time.Duration{}, members: map[string]int{}, movedAt: map[string]time.Duration{},
-		silentUntil: map[string]time.Duration{}, pending: map[holdKey]string{},
+		silentUntil: map[string]time.Duration{}, pending: map[holdKey]string{}, heat: map[string]*Heat{},
 	}
 }
 
@@ -144,7 +146,9 @@
 		for _, r := range table.GetRanges() {
 			k.stepRange(ctx, table, r, candidates)
 		}
-		k.rebalance(ctx, table, candidates)
+		if !k.spread(ctx, table, candidates) {
+			k.rebalance(ctx, table, candidates)
+		}
 	}
 }
 
@@ -269,7 +273,7 @@
 	ctx context.Context, service string, r *schemav1.KeyRange, h *hold, table *schemav1.KeyTable, candidates []Candidate,
 	owner *schemav1.Registration,
 ) time.Duration {
-	if h.failing && k.clock()-h.failingSince >= tryFor && Owner(table.GetRanges(), candidates, r.GetOwner()) != nil {
+	if h.failing && k.clock()-h.failingSince >= tryFor && Owner(table.GetRanges(), candidates, r.GetOwner(), nil) != nil {
 		// Each further call could extend the hold, and so put off the time at which the keys can move.
 		if k.clock() < h.end {
 			return min(retryPause, h.end-k.clock())
@@ -325,7 +329,7 @@
 	if k.clock() >= h.end {
 		return k.assign(ctx, service, r, table, candidates, r.GetOwner(), "hold ended")
 	}
-	if next := Owner(table.GetRanges(), candidates, r.GetOwner()); next == nil {
+	if next := Owner(table.GetRanges(), candidates, r.GetOwner(), nil); next == nil {
 		return retryPause
 	}
 	callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, h.end-k.clock()))
@@ -380,7 +384,7 @@
 			ranges[i] = &schemav1.KeyRange{First: r.GetFirst(), Last: r.GetLast(), Owner: owner}
 		}
 	}
-	next := Owner(ranges, candidates, avoid)
+	next := Owner(ranges, candidates, avoid, k.heat[key.service])
 	if next != nil {
 		k.pending[key] = next.GetId()
 	}
@@ -403,6 +407,52 @@
 	}
 }
 
+// Observe takes the requests for keys of a bucket that an entry host has seen.
+func (k *Keeper) Observe(service string, bucket, count uint32) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.heat[service] == nil {
+		k.heat[service] = &Heat{}
+	}
+	k.heat[service].Add(k.clock(), bucket, count)
+}
+
+// spread takes one step to spread the requests of an owner that has far more than the others. It reports whether it did.
+func (k *Keeper) spread(ctx context.Context, table *schemav1.KeyTable, candidates []Candidate) bool {
+	service := table.GetService()
+	k.mu.Lock()
+	var step *Spread
+	if heat := k.heat[service]; heat != nil {
+		heat.decay(k.clock())
+		step = NextSpread(table.GetRanges(), candidates, heat)
+	}
+	k.mu.Unlock()
+	if step == nil {
+		return false
+	}
+	r := step.Range
+	if len(step.Starts) == 0 {
+		klog.InfoS("key range moves for its load", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "from", r.GetOwner())
+		k.startMove(ctx, service, r)
+		return true
+	}
+	split := &schemav1.RangeSplit{Service: service, First: r.GetFirst(), ExpectedFence: r.GetFence(), Starts: step.Starts}
+	result, err := k.log.Propose(ctx, &schemav1.RegistryCommand{Split: split})
+	klog.InfoS("key range split for its load", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "parts", len(step.Starts)+1,
+		"owner", r.GetOwner(), "applied", result.GetApplied(), "err", err)
+	return true
+}
+
+// startMove takes a range back from its owner; the next owner is chosen when it is free.
+func (k *Keeper) startMove(ctx context.Context, service string, r *schemav1.KeyRange) {
+	k.setState(ctx, service, r, schemav1.RangeState_RANGE_STATE_RELEASING)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if h := k.holds[holdKey{service, r.GetFirst()}]; h != nil {
+		h.next = k.clock()
+	}
+}
+
 // rebalance moves one range to a target that has far fewer.
 func (k *Keeper) rebalance(ctx context.Context, table *schemav1.KeyTable, candidates []Candidate) {
 	now := k.clock()
@@ -420,10 +470,5 @@
 	k.movedAt[table.GetService()] = now
 	k.mu.Unlock()
 	klog.InfoS("key range moves for balance", "service", table.GetService(), "first", r.GetFirst(), "from", r.GetOwner(), "to", target.GetId())
-	k.setState(ctx, table.GetService(), r, schemav1.RangeState_RANGE_STATE_RELEASING)
-	k.mu.Lock()
-	if h := k.holds[holdKey{table.GetService(), r.GetFirst()}]; h != nil {
-		h.next = now
-	}
-	k.mu.Unlock()
+	k.startMove(ctx, table.GetService(), r)
 }
--- a/pkg/grants/plan.go
+++ b/pkg/grants/plan.go
@@ -38,10 +38,10 @@
 	Unfit bool
 }
 
-// Owner chooses the next owner of a range: a fit candidate with the fewest keys for its slots, other than avoid. It
-// returns nil when there is no candidate.
-func Owner(ranges []*schemav1.KeyRange, candidates []Candidate, avoid string) *schemav1.Registration {
-	held := keysByOwner(ranges)
+// Owner chooses the next owner of a range: a fit candidate with the least load for its slots, other than avoid. The load is
+// that of its requests where heat is known, and of its number of keys. It returns nil when there is no candidate.
+func Owner(ranges []*schemav1.KeyRange, candidates []Candidate, avoid string, heat *Heat) *schemav1.Registration {
+	held := loadByOwner(ranges, len(candidates), heat)
 	var best *Candidate
 	for i := range candidates {
 		c := &candidates[i]
@@ -59,8 +59,8 @@
 	return best.Registration
 }
 
-func load(held map[string]int, c *Candidate) float64 {
-	return float64(held[c.GetId()]) / float64(max(1, c.GetSlots()))
+func load(held map[string]float64, c *Candidate) float64 {
+	return held[c.GetId()] / float64(max(1, c.GetSlots()))
 }
 
 func compareBool(a, b bool) int {
@@ -74,36 +74,59 @@
 	}
 }
 
-func keysByOwner(ranges []*schemav1.KeyRange) map[string]int {
-	held := map[string]int{}
+// keyShare is the weight of an even number of keys beside an even number of requests: what is busy next is not known.
+const keyShare = 0.25
+
+// loadByOwner is 1 + keyShare for an owner with an even part of requests and keys.
+func loadByOwner(ranges []*schemav1.KeyRange, owners int, heat *Heat) map[string]float64 {
+	held := map[string]float64{}
+	total := 0.0
+	if heat != nil {
+		total = heat.Of(0, Keys-1)
+	}
 	for _, r := range ranges {
-		held[r.GetOwner()] += int(r.GetLast() - r.GetFirst() + 1)
+		share := float64(r.GetLast()-r.GetFirst()+1) / Keys
+		if total > 0 {
+			share = share*keyShare + heat.Of(r.GetFirst(), r.GetLast())/total
+		}
+		held[r.GetOwner()] += share * float64(owners)
 	}
 	return held
 }
 
 // Rebalance returns a range that should move to a candidate with far fewer keys, and that candidate. Moves cost: keys
-// are slow after them and each is paid for, so only a difference of more than one range counts.
+// are slow after them and each is paid for, so only a difference of more than one whole range counts.
 func Rebalance(ranges []*schemav1.KeyRange, candidates []Candidate) (*schemav1.KeyRange, *schemav1.Registration) {
-	target := Owner(ranges, candidates, "")
+	target := Owner(ranges, candidates, "", nil)
 	if target == nil || slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Unfit && c.GetId() == target.GetId() }) {
 		return nil, nil
 	}
+	keys := map[string]int{}
 	owned := map[string][]*schemav1.KeyRange{}
 	for _, r := range ranges {
 		if r.GetState() != schemav1.RangeState_RANGE_STATE_ACTIVE {
 			return nil, nil
 		}
 		owned[r.GetOwner()] = append(owned[r.GetOwner()], r)
+		keys[r.GetOwner()] += size(r)
 	}
-	var from []*schemav1.KeyRange
+	from := ""
 	for _, owner := range slices.Sorted(maps.Keys(owned)) {
-		if len(owned[owner]) > len(from) {
-			from = owned[owner]
+		if from == "" || keys[owner] > keys[from] {
+			from = owner
 		}
 	}
-	if len(from)-len(owned[target.GetId()]) < 2 {
+	whole := Keys / (rangesPerOwner * max(1, len(candidates)))
+	largest := owned[from][0]
+	for _, r := range owned[from] {
+		if size(r) >= size(largest) {
+			largest = r
+		}
+	}
+	if keys[from]-keys[target.GetId()] < 2*min(whole, size(largest)) || keys[from]-keys[target.GetId()] < whole {
 		return nil, nil
 	}
-	return from[len(from)-1], target
+	return largest, target
 }
+
+func size(r *schemav1.KeyRange) int { return int(r.GetLast()-r.GetFirst()) + 1 }
--- a/pkg/grants/plan_test.go
+++ b/pkg/grants/plan_test.go
@@ -56,12 +56,12 @@
 		targets := owners(4)
 		ranges := Split(targets[:3])
 		all := candidates(targets)
-		Expect(Owner(ranges, all, "").GetId()).To(Equal("t3"))
+		Expect(Owner(ranges, all, "", nil).GetId()).To(Equal("t3"))
 		all[3].Unfit = true
-		Expect(Owner(ranges, all, "").GetId()).To(Equal("t0"))
-		Expect(Owner(ranges, all, "t0").GetId()).To(Equal("t1"))
-		Expect(Owner(ranges, all[3:], "").GetId()).To(Equal("t3"), "an unfit target is better than none")
-		Expect(Owner(ranges, nil, "")).To(BeNil())
+		Expect(Owner(ranges, all, "", nil).GetId()).To(Equal("t0"))
+		Expect(Owner(ranges, all, "t0", nil).GetId()).To(Equal("t1"))
+		Expect(Owner(ranges, all[3:], "", nil).GetId()).To(Equal("t3"), "an unfit target is better than none")
+		Expect(Owner(ranges, nil, "", nil)).To(BeNil())
 	})
 })
 
@@ -98,3 +98,73 @@
 		Expect(r).To(BeNil())
 	})
 })
+
+var _ = Describe("Spread", func() {
+	busy := func(first, last uint32, rate int) *Heat {
+		h := &Heat{}
+		for key := uint32(0); key < Keys; key += 1 << BucketBits {
+			h.Add(0, key>>BucketBits, 0)
+		}
+		for bucket := first >> BucketBits; bucket <= last>>BucketBits; bucket++ {
+			h.Add(0, bucket, uint32(float64(rate)*heatMemory.Seconds())/(last>>BucketBits-first>>BucketBits+1))
+		}
+		return h
+	}
+
+	It("splits the range of busy neighbours and spreads the parts, when a key gets a third of the requests (hot_key)", func() {
+		targets := owners(8)
+		ranges := Split(targets)
+		for _, r := range ranges {
+			r.State = schemav1.RangeState_RANGE_STATE_ACTIVE
+		}
+		heat := busy(4096, 4096+511, 40)
+		steps := 0
+		for ; steps < 40; steps++ {
+			step := NextSpread(ranges, candidates(targets), heat)
+			if step == nil {
+				break
+			}
+			if len(step.Starts) == 0 {
+				step.Range.Owner = Owner(ranges, candidates(targets), step.Range.GetOwner(), heat).GetId()
+				continue
+			}
+			var parts []*schemav1.KeyRange
+			for _, r := range ranges {
+				if r != step.Range {
+					parts = append(parts, r)
+					continue
+				}
+				first := r.GetFirst()
+				for _, start := range append(step.Starts, r.GetLast()+1) {
+					parts = append(parts, &schemav1.KeyRange{First: first, Last: start - 1, Owner: r.GetOwner(), State: r.GetState()})
+					first = start
+				}
+			}
+			ranges = parts
+		}
+		Expect(steps).To(BeNumerically("<", 15))
+		rates := map[string]float64{}
+		for _, r := range ranges {
+			rates[r.GetOwner()] += heat.Of(r.GetFirst(), r.GetLast())
+		}
+		for owner, rate := range rates {
+			Expect(rate).To(BeNumerically("<=", hotFactor*40/8+1), owner)
+		}
+	})
+
+	It("does nothing while the requests are even or few", func() {
+		targets := owners(8)
+		ranges := Split(targets)
+		for _, r := range ranges {
+			r.State = schemav1.RangeState_RANGE_STATE_ACTIVE
+		}
+		Expect(NextSpread(ranges, candidates(targets), busy(0, Keys-1, 2000))).To(BeNil())
+		Expect(NextSpread(ranges, candidates(targets), busy(4096, 4096+511, 3))).To(BeNil())
+	})
+
+	It("forgets what was busy", func() {
+		heat := busy(0, 63, 100)
+		heat.decay(10 * heatMemory)
+		Expect(heat.Of(0, Keys-1)).To(BeNumerically("<", 0.1))
+	})
+})
--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -41,6 +41,13 @@
 		l.keeper = grants.New(r.state, r, r.options.Granter, func() time.Duration { return time.Since(r.started) })
 	}
 	l.changeMembers(status)
+	for _, load := range r.keyLoads.take() {
+		for i, bucket := range load.GetBuckets() {
+			if i < len(load.GetCounts()) {
+				l.keeper.Observe(load.GetService(), bucket, load.GetCounts()[i])
+			}
+		}
+	}
 	if configuration := r.Configuration(); configuration != nil {
 		l.keeper.Step(l.ctx, configuration.Services)
 	}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -84,6 +84,7 @@
 	server   *rpc.Server
 	metrics  *metrics.Registry
 	watchers watchers
+	keyLoads keyLoads
 	beats    beats
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -346,6 +347,9 @@
 		if status.Leader != 0 {
 			r.announceSelf()
 		}
+		if status.Role != raft.Leader {
+			r.passLoads(status.LeaderAddress)
+		}
 		lead.step(status)
 		r.dropWatchers()
 	}
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -24,6 +24,7 @@
 	methodForward = "Registry.Forward"
 	methodRead    = "Registry.Read"
 	methodJoin    = "Registry.Join"
+	methodLoads   = "Registry.KeyLoads"
 	// MethodWatch serves views to entry hosts.
 	MethodWatch = "Registry.Watch"
 )
@@ -46,6 +47,7 @@
 	rpc.Register(r.server, methodForward, r.handleForward)
 	rpc.Register(r.server, methodRead, r.handleRead)
 	rpc.Register(r.server, methodJoin, r.handleJoin)
+	rpc.Register(r.server, methodLoads, r.handleLoads)
 	rpc.Register(r.server, MethodWatch, r.handleWatch)
 	rpc.Register(r.server, member.MethodStep, r.handleStep)
 }
@@ -149,6 +151,7 @@
 // handleWatch answers with what changed since the caller's version, after waiting for a change.
 func (r *Registrar) handleWatch(ctx context.Context, request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
 	r.watchers.note(request.GetEntry().GetName())
+	r.keyLoads.add(request.GetKeyLoads())
 	r.addEntry(request.GetEntry())
 	deadline := time.NewTimer(watchHold)
 	defer deadline.Stop()
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -89,6 +89,8 @@
 		return s.applyKeys(c.GetKeys(), version)
 	case c.GetRange() != nil:
 		return s.applyRange(c.GetRange(), version)
+	case c.GetSplit() != nil:
+		return s.applySplit(c.GetSplit(), version)
 	case c.GetEntryJoined() != nil:
 		return setHost(s.entries, c.GetEntryJoined().GetName(), c.GetEntryJoined(), &s.stamps, version)
 	case c.GetEntryLeft() != "":
@@ -245,6 +247,32 @@
 	return true
 }
 
+func (s *State) applySplit(split *schemav1.RangeSplit, version uint64) bool {
+	table := s.keys[split.GetService()]
+	at := slices.IndexFunc(table.GetRanges(), func(r *schemav1.KeyRange) bool {
+		return r.GetFence() == split.GetExpectedFence() && r.GetFirst() == split.GetFirst()
+	})
+	if at < 0 || len(split.GetStarts()) == 0 {
+		return false
+	}
+	whole := table.GetRanges()[at]
+	var parts []*schemav1.KeyRange
+	first := whole.GetFirst()
+	for _, start := range append(slices.Clone(split.GetStarts()), whole.GetLast()+1) {
+		if start <= first || start > whole.GetLast()+1 {
+			return false
+		}
+		part := proto.Clone(whole).(*schemav1.KeyRange)
+		part.First, part.Last = first, start-1
+		parts = append(parts, part)
+		first = start
+	}
+	ranges := slices.Replace(slices.Clone(table.GetRanges()), at, at+1, parts...)
+	s.keys[split.GetService()] = &schemav1.KeyTable{Service: table.GetService(), Ranges: ranges}
+	s.stamps.keys[split.GetService()] = version
+	return true
+}
+
 // Snapshot implements replication.StateMachine.
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -126,7 +126,12 @@
 
 func drawCommand(t *rapid.T) *schemav1.RegistryCommand {
 	name := func(prefix string) string { return fmt.Sprintf("%s%d", prefix, rapid.IntRange(0, 4).Draw(t, prefix)) }
-	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	switch rapid.IntRange(0, 8).Draw(t, "kind") {
+	case 8:
+		return &schemav1.RegistryCommand{Split: &schemav1.RangeSplit{
+			Service: name("s"), ExpectedFence: rapid.Uint64Range(0, 9).Draw(t, "fence"), First: 0,
+			Starts: rapid.SliceOfN(rapid.Uint32Range(0, 110), 0, 3).Draw(t, "starts"),
+		}}
 	case 0:
 		return &schemav1.RegistryCommand{Routes: &schemav1.RouteDocument{Revision: rapid.Uint64Range(1, 9).Draw(t, "revision")}}
 	case 1:
