Wait after a release for grants that may still be carried out late

Change: after a grant without an answer, a released range waits until the grant's time is over, counted from the end of the call; parts of a split keep the hold of the whole, and a range with such a grant is not split or moved for its load. Test: the keeper's spec on late grants fails before (a key held by two targets) and passes after.

--- a/pkg/grants/keeper.go
+++ b/pkg/grants/keeper.go
@@ -105,7 +105,12 @@
 	busy  bool
 	// next is when the next call is due, end when the grant is certainly over.
 	next, end time.Duration
-	handover  string
+	// unsure is until when a grant that got no answer may still be carried out: targets may do so seconds later, also after
+	// a release, but a grant's time counts from its arrival.
+	unsure   time.Duration
+	handover string
+	// released is set when the owner has given the keys back.
+	released bool
 	// failing is set after a failed call until one succeeds.
 	failing      bool
 	failingSince time.Duration
@@ -195,23 +200,23 @@
 	klog.InfoS("key ranges divided", "service", service, "owners", len(owners))
 }
 
-// claim returns the hold of a range if a call is due, and marks it as busy.
-func (k *Keeper) claim(service string, r *schemav1.KeyRange) *hold {
+// claim returns the hold of a range, marked as busy, unless it is busy already or, with dueOnly, no call is due.
+func (k *Keeper) claim(service string, r *schemav1.KeyRange, dueOnly bool) *hold {
 	now := k.clock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	key := holdKey{service, r.GetFirst()}
 	h, ok := k.holds[key]
 	if !ok {
-		h = &hold{fence: r.GetFence(), end: now + certain, next: now}
+		h = &hold{fence: r.GetFence(), end: now + certain, unsure: now + certain, next: now}
 		k.holds[key] = h
 	}
 	if h.fence != r.GetFence() {
 		// A new fence was committed here; nothing has been granted under it yet.
-		h.fence, h.next, h.failing = r.GetFence(), now, false
+		h.fence, h.next, h.failing, h.released, h.unsure = r.GetFence(), now, false, false, 0
 		h.end = now
 	}
-	if h.busy || now < h.next {
+	if h.busy || (dueOnly && now < h.next) {
 		return nil
 	}
 	h.busy = true
@@ -226,7 +231,7 @@
 }
 
 func (k *Keeper) stepRange(ctx context.Context, table *schemav1.KeyTable, r *schemav1.KeyRange, candidates []Candidate) {
-	h := k.claim(table.GetService(), r)
+	h := k.claim(table.GetService(), r, true)
 	if h == nil {
 		return
 	}
@@ -304,7 +309,8 @@
 	}
 	if !neverArrived(err) {
 		// The call may have arrived, at the latest now, and may be carried out later: its time counts from its arrival.
-		h.end = max(h.end, k.clock()+certain)
+		h.unsure = k.clock() + certain
+		h.end = max(h.end, h.unsure)
 	}
 	if !h.failing {
 		h.failing, h.failingSince = true, k.clock()
@@ -332,6 +338,12 @@
 	if next := Owner(table.GetRanges(), candidates, r.GetOwner(), nil); next == nil {
 		return retryPause
 	}
+	if h.released {
+		if wait := h.unsure - k.clock(); wait > 0 {
+			return min(wait, retryPause)
+		}
+		return k.assign(ctx, service, r, table, candidates, r.GetOwner(), "released")
+	}
 	callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, h.end-k.clock()))
 	defer cancel()
 	handover, err := k.granter.Release(callCtx, k.call(owner, r))
@@ -341,8 +353,11 @@
 		return retryPause
 	}
 	k.mu.Lock()
-	h.handover = handover
+	h.handover, h.released = handover, true
 	k.mu.Unlock()
+	if h.unsure > k.clock() {
+		return retryPause
+	}
 	return k.assign(ctx, service, r, table, candidates, r.GetOwner(), "released")
 }
 
@@ -431,6 +446,15 @@
 		return false
 	}
 	r := step.Range
+	parent := k.claim(service, r, false)
+	if parent == nil {
+		return true
+	}
+	defer k.done(parent, 0)
+	if parent.unsure > k.clock() {
+		// The range cannot move yet.
+		return true
+	}
 	if len(step.Starts) == 0 {
 		klog.InfoS("key range moves for its load", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "from", r.GetOwner())
 		k.startMove(ctx, service, r)
@@ -440,9 +464,21 @@
 	result, err := k.log.Propose(ctx, &schemav1.RegistryCommand{Split: split})
 	klog.InfoS("key range split for its load", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "parts", len(step.Starts)+1,
 		"owner", r.GetOwner(), "applied", result.GetApplied(), "err", err)
+	if err == nil {
+		k.shareHold(service, parent, step.Starts)
+	}
 	return true
 }
 
+// shareHold gives the parts of a range that was split the hold of the whole.
+func (k *Keeper) shareHold(service string, whole *hold, starts []uint32) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, start := range starts {
+		k.holds[holdKey{service, start}] = &hold{fence: whole.fence, end: whole.end, next: k.clock()}
+	}
+}
+
 // startMove takes a range back from its owner; the next owner is chosen when it is free.
 func (k *Keeper) startMove(ctx context.Context, service string, r *schemav1.KeyRange) {
 	k.setState(ctx, service, r, schemav1.RangeState_RANGE_STATE_RELEASING)
--- a/pkg/grants/keeper_test.go
+++ b/pkg/grants/keeper_test.go
@@ -25,15 +25,55 @@
 	until map[string]map[uint32]time.Duration
 	// silent targets get calls that time out after they may have arrived; dead ones cannot be connected to.
 	silent, dead map[string]bool
+	// late targets carry grants out without an answer, lateBy after they arrived.
+	late    map[string]bool
+	pending []lateGrant
 	// heldBy checks that no two targets hold a key at once.
 	violations []string
 	released   int
 	keeper     *Keeper
 }
 
+const lateBy = 2 * time.Second
+
+type lateGrant struct {
+	at, until time.Duration
+	grant     Grant
+}
+
+// carryOut applies late grants that are due and not over.
+func (b *bed) carryOut() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	kept := b.pending[:0]
+	for _, l := range b.pending {
+		switch {
+		case b.now < l.at:
+			kept = append(kept, l)
+		case b.now < l.until:
+			b.hold(l.grant.Target, l.grant.First, l.until)
+		}
+	}
+	b.pending = kept
+}
+
+// hold notes that a target holds a range, and checks that no other does.
+func (b *bed) hold(target string, first uint32, until time.Duration) {
+	for other, held := range b.until {
+		if other != target && held[first] > b.now {
+			b.violations = append(b.violations, other+" still holds a key granted to "+target)
+		}
+	}
+	if b.until[target] == nil {
+		b.until[target] = map[uint32]time.Duration{}
+	}
+	b.until[target][first] = until
+}
+
 func newBed(targets []*schemav1.Registration) *bed {
 	b := &bed{
 		state: registry.NewState(), lead: true, until: map[string]map[uint32]time.Duration{}, silent: map[string]bool{}, dead: map[string]bool{},
+		late: map[string]bool{},
 	}
 	for _, t := range targets {
 		t.Service = "files"
@@ -81,16 +121,13 @@
 	if b.dead[g.Target] {
 		return &upstream.Error{Stage: upstream.NotSent, Cause: context.DeadlineExceeded}
 	}
-	for target, held := range b.until {
-		if target != g.Target && held[g.First] > b.now {
-			b.violations = append(b.violations, target+" still holds a key granted to "+g.Target)
-		}
-	}
-	if b.until[g.Target] == nil {
-		b.until[g.Target] = map[uint32]time.Duration{}
-	}
 	// The target's clock may run slow by the whole error.
-	b.until[g.Target][g.First] = b.now + g.Hold + time.Duration(float64(g.Hold)*clockError)
+	until := b.now + g.Hold + time.Duration(float64(g.Hold)*clockError)
+	if b.late[g.Target] {
+		b.pending = append(b.pending, lateGrant{b.now + lateBy, until, *g})
+		return &upstream.Error{Stage: upstream.Sent, Cause: context.DeadlineExceeded}
+	}
+	b.hold(g.Target, g.First, until)
 	if b.silent[g.Target] {
 		return &upstream.Error{Stage: upstream.Sent, Cause: context.DeadlineExceeded}
 	}
@@ -115,6 +152,7 @@
 	for end := b.clock() + d; b.clock() < end; {
 		b.keeper.Step(ctx, map[string]routes.Service{"files": {Name: "files", Exclusive: true}})
 		b.keeper.Wait()
+		b.carryOut()
 		b.mu.Lock()
 		b.now += 50 * time.Millisecond
 		b.mu.Unlock()
@@ -185,6 +223,20 @@
 		Expect(b.released).To(Equal(rangesPerOwner))
 	})
 
+	It("waits after a release for grants that may still be carried out late (applied_late)", func() {
+		targets := owners(3)
+		b := newBed(targets)
+		b.run(5 * time.Second)
+		b.late["t0"] = true
+		b.run(renewEvery + 200*time.Millisecond)
+		b.late["t0"] = false
+		leaving := proto.Clone(targets[0]).(*schemav1.Registration)
+		leaving.Life = schemav1.Life_LIFE_DRAINING
+		b.mustApply(&schemav1.RegistryCommand{Registration: leaving})
+		b.run(2 * certain)
+		Expect(b.rangesOf("t1") + b.rangesOf("t2")).To(Equal(3 * rangesPerOwner))
+	})
+
 	It("gives the keys of a target that started again a higher fence", func() {
 		targets := owners(2)
 		b := newBed(targets)
