--- /dev/null
+++ b/pkg/grants/balance.go
@@ -0,0 +1,96 @@
+package grants
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// Observe takes the requests for keys of a bucket that an entry host has seen.
+func (k *Keeper) Observe(service string, bucket, count uint32) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.heat[service] == nil {
+		k.heat[service] = &Heat{}
+	}
+	k.heat[service].Add(k.clock(), bucket, count)
+}
+
+// spread takes one step to spread the requests of an owner that has far more than the others. It reports whether it did.
+func (k *Keeper) spread(ctx context.Context, table *schemav1.KeyTable, candidates []Candidate) bool {
+	service := table.GetService()
+	k.mu.Lock()
+	var step *Spread
+	if heat := k.heat[service]; heat != nil {
+		heat.decay(k.clock())
+		step = NextSpread(table.GetRanges(), candidates, heat)
+	}
+	k.mu.Unlock()
+	if step == nil {
+		return false
+	}
+	r := step.Range
+	parent := k.claim(service, r, false)
+	if parent == nil {
+		return true
+	}
+	defer k.done(parent, 0)
+	if parent.unsure > k.clock() {
+		// The range cannot move yet.
+		return true
+	}
+	if len(step.Starts) == 0 {
+		klog.InfoS("key range moves for its load", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "from", r.GetOwner())
+		k.startMove(ctx, service, r)
+		return true
+	}
+	split := &schemav1.RangeSplit{Service: service, First: r.GetFirst(), ExpectedFence: r.GetFence(), Starts: step.Starts}
+	result, err := k.log.Propose(ctx, &schemav1.RegistryCommand{Split: split})
+	klog.InfoS("key range split for its load", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "parts", len(step.Starts)+1,
+		"owner", r.GetOwner(), "applied", result.GetApplied(), "err", err)
+	if err == nil {
+		k.shareHold(service, parent, step.Starts)
+	}
+	return true
+}
+
+// shareHold gives the parts of a range that was split the hold of the whole.
+func (k *Keeper) shareHold(service string, whole *hold, starts []uint32) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, start := range starts {
+		k.holds[holdKey{service, start}] = &hold{fence: whole.fence, end: whole.end, next: k.clock()}
+	}
+}
+
+// startMove takes a range back from its owner; the next owner is chosen when it is free.
+func (k *Keeper) startMove(ctx context.Context, service string, r *schemav1.KeyRange) {
+	k.setState(ctx, service, r, schemav1.RangeState_RANGE_STATE_RELEASING)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if h := k.holds[holdKey{service, r.GetFirst()}]; h != nil {
+		h.next = k.clock()
+	}
+}
+
+// rebalance moves one range to a target that has far fewer.
+func (k *Keeper) rebalance(ctx context.Context, table *schemav1.KeyTable, candidates []Candidate) {
+	now := k.clock()
+	k.mu.Lock()
+	recent := now-k.movedAt[table.GetService()] < rebalancePause
+	k.mu.Unlock()
+	if recent {
+		return
+	}
+	r, target := Rebalance(table.GetRanges(), candidates)
+	if r == nil {
+		return
+	}
+	k.mu.Lock()
+	k.movedAt[table.GetService()] = now
+	k.mu.Unlock()
+	klog.InfoS("key range moves for balance", "service", table.GetService(), "first", r.GetFirst(), "from", r.GetOwner(), "to", target.GetId())
+	k.startMove(ctx, table.GetService(), r)
+}
--- /dev/null
+++ b/pkg/grants/granter.go
@@ -0,0 +1,34 @@
+package grants
+
+import (
+	"context"
+	"time"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// Grant is one call to a target.
+type Grant struct {
+	Address     string
+	Target      string
+	First, Last uint32
+	Fence       uint64
+	Hold        time.Duration
+	// Handover is what the last owner gave; empty when there is none.
+	Handover string
+}
+
+// Granter calls targets.
+type Granter interface {
+	// Grant gives or renews keys. It fails with ErrFenced if the target knows a higher fence.
+	Grant(ctx context.Context, g *Grant) error
+	// Release ends a grant and returns the handover once the work on the keys has ended.
+	Release(ctx context.Context, g *Grant) (handover string, err error)
+}
+
+// Log proposes commands to the registry.
+type Log interface {
+	Propose(ctx context.Context, command *schemav1.RegistryCommand) (*schemav1.RegistryResult, error)
+	// Leads reports whether this host may act as the leader right now.
+	Leads() bool
+}
