--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -188,6 +188,16 @@
 		Expect(a.runs.Load() + b.runs.Load()).To(BeEquivalentTo(1))
 	})
 
+	It("does not say not-run of a repeatable request that ran without a usable answer", func() {
+		h := startHost()
+		t := startTarget("t", "desk")
+		put(h, 1, nil, t)
+		t.answer(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		status, _, _ := ask(h, "/safe/")
+		Expect(status).To(Equal(http.StatusBadGateway))
+		Expect(t.runs.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("replaces an answer that breaks off or lacks its proof by that of another target", func() {
 		h := startHost()
 		a, b := startTarget("a", "desk"), startTarget("b", "desk")
