--- a/pkg/dispatch/core.go
+++ b/pkg/dispatch/core.go
@@ -44,10 +44,9 @@
 	// Rand returns a number in [0, 1); math/rand by default.
 	Rand func() float64
 	// RetryRatio is the share of requests that may be sent again by all hosts together, and RetrySlack the number beyond
-	// it in RetryWindow.
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// it in the users' window.
+	RetryRatio float64
+	RetrySlack float64
 }
 
 // Core chooses targets. It is safe for concurrent use.
--- a/pkg/dispatch/core_test.go
+++ b/pkg/dispatch/core_test.go
@@ -17,7 +17,7 @@
 func half() float64 { return 0.5 }
 
 func newCore(dataCentre string) *Core {
-	return New(Options{DataCentre: dataCentre, Region: "east", Rand: half, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second})
+	return New(Options{DataCentre: dataCentre, Region: "east", Rand: half, RetryRatio: 0.2, RetrySlack: 64})
 }
 
 func inCentre(id, dataCentre, region string) Target {
--- a/pkg/dispatch/wait.go
+++ b/pkg/dispatch/wait.go
@@ -9,7 +9,7 @@
 // Waiter is a request that waits for a target.
 type Waiter struct {
 	Request *Request
-	// Ready gets the choice, or is closed without one when the request is refused after all.
+	// Ready gets the choice.
 	Ready chan *Choice
 
 	sequence uint64
--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -42,7 +42,7 @@
 	h := New(Options{
 		Name: "e", DataCentre: "n", Region: "east", Regions: map[string]string{"n": "east"}, Listen: address(), Ready: address(),
 		Load: address(), Seeds: []string{address()}, Protocol: testProtocol, Grace: 2 * time.Second,
-		Dispatch: dispatch.Options{RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second},
+		Dispatch: dispatch.Options{RetryRatio: 0.2, RetrySlack: 64},
 		Decode: func(*schemav1.RouteDocument) (*routes.Configuration, error) {
 			c := &routes.Configuration{Revision: 1, Services: map[string]routes.Service{"desk": {Name: "desk"}, "files": {Name: "files", Exclusive: true}}}
 			for prefix, kind := range map[string]routes.Kind{"/safe/": routes.Safe, "/unsafe/": routes.Unsafe, "/files/": routes.Download} {
