Renew a grant only over the connection of its first call

Change: each fence has a connection of its own, which ties it to one process. A renewal without that connection, also after a change of leaders, first raises the fence of the range. This changes no view. The client closes idle connections by itself, because pools now come and go.

--- a/pkg/grants/errors.go
+++ b/pkg/grants/errors.go
@@ -3,9 +3,14 @@
 import (
 	"errors"
 
+	"github.com/ansel1/merry/v2"
+
 	"almondrock.example/almondrock/pkg/upstream"
 )
 
+// ErrNoConnection is returned for a renewal whose connection is closed.
+var ErrNoConnection = merry.Sentinel("the connection over which the keys were granted is closed")
+
 // FencedError reports that a target has seen a higher fence on one of the keys.
 type FencedError struct{ Target string }
 
--- a/pkg/grants/keeper.go
+++ b/pkg/grants/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -88,6 +89,8 @@
 	// failing is set after a failed call until one succeeds.
 	failing      bool
 	failingSince time.Duration
+	// unused is set while no call has carried the fence to any process.
+	unused bool
 }
 
 // New returns a keeper for a host that has just become the leader. The last leader may have renewed every grant just
@@ -185,10 +188,13 @@
 		h = &hold{fence: r.GetFence(), end: now + certain, unsure: now + certain, next: now}
 		k.holds[key] = h
 	}
-	if h.fence != r.GetFence() {
-		// A new fence was committed here; nothing has been granted under it yet.
-		h.fence, h.next, h.failing, h.released, h.unsure = r.GetFence(), now, false, false, 0
-		h.end = now
+	if r.GetFence() < h.fence {
+		// The table was read before the last change of this range.
+		return nil
+	}
+	if r.GetFence() > h.fence {
+		// Another leader committed the fence and may have granted keys under it.
+		*h = hold{fence: r.GetFence(), end: now + certain, unsure: now + certain, next: now, busy: h.busy}
 	}
 	if h.busy || (dueOnly && now < h.next) {
 		return nil
@@ -261,13 +267,17 @@
 		return k.assign(ctx, service, r, table, candidates, r.GetOwner(), "owner silent until its hold ended")
 	}
 	g := k.call(owner, r)
-	g.Handover = h.handover
+	g.Handover, g.Renewal = h.handover, !h.unused
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if !k.log.Leads() {
 		return retryPause
 	}
 	err := k.granter.Grant(callCtx, g)
+	if errors.Is(err, ErrNoConnection) {
+		return k.refence(ctx, service, r, h)
+	}
+	h.unused = h.unused && err != nil && neverArrived(err)
 	if err == nil {
 		h.end, h.failing, h.handover = k.clock()+certain, false, ""
 		if r.GetState() != schemav1.RangeState_RANGE_STATE_GRANTING {
@@ -294,6 +304,23 @@
 	return retryPause
 }
 
+// refence raises the fence of a range that stays with its owner. What the owner holds under the old fence stays held.
+func (k *Keeper) refence(ctx context.Context, service string, r *schemav1.KeyRange, h *hold) time.Duration {
+	change := &schemav1.RangeChange{Service: service, ExpectedFence: r.GetFence(), Range: &schemav1.KeyRange{
+		First: r.GetFirst(), Last: r.GetLast(), Owner: r.GetOwner(), OwnerStartedUnixMs: r.GetOwnerStartedUnixMs(), State: r.GetState(),
+	}}
+	result, err := k.log.Propose(ctx, &schemav1.RegistryCommand{Range: change})
+	klog.V(1).InfoS("fence raised for a new connection", "service", service, "first", r.GetFirst(), "target", r.GetOwner(),
+		"fence", result.GetFence(), "applied", result.GetApplied(), "err", err)
+	if err != nil || !result.GetApplied() {
+		return retryPause
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h.fence, h.unused = result.GetFence(), true
+	return 0
+}
+
 // distrust keeps keys away from a target that is registered but does not answer.
 func (k *Keeper) distrust(target string) {
 	k.mu.Lock()
@@ -318,6 +345,10 @@
 		}
 		return k.assign(ctx, service, r, table, candidates, r.GetOwner(), "released")
 	}
+	if h.unused {
+		// The owner holds the keys under an older fence, if at all, so that this one would not release them for certain.
+		return min(retryPause, h.end-k.clock())
+	}
 	callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, h.end-k.clock()))
 	defer cancel()
 	handover, err := k.granter.Release(callCtx, k.call(owner, r))
@@ -359,6 +390,12 @@
 	}
 	klog.InfoS("key range assigned", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "from", r.GetOwner(),
 		"to", next.GetId(), "fence", result.GetFence(), "applied", result.GetApplied(), "reason", reason)
+	if result.GetApplied() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		h := k.holds[key]
+		h.fence, h.unused, h.failing, h.released, h.unsure, h.end = result.GetFence(), true, false, false, 0, k.clock()
+	}
 	return 0
 }
 
--- a/pkg/grants/keeper_test.go
+++ b/pkg/grants/keeper_test.go
@@ -28,7 +28,11 @@
 	// late targets carry grants out without an answer, lateBy after they arrived.
 	late    map[string]bool
 	pending []lateGrant
-	// heldBy checks that no two targets hold a key at once.
+	// process counts the starts at the address of a target; a connection reaches the start that it was opened to.
+	process map[string]int
+	// opened has the process to which the connection of a fence was opened, and taken the process that got it first.
+	opened, taken map[uint64]int
+	// violations has keys that two targets held at once, and fences that two processes got.
 	violations []string
 	released   int
 	keeper     *Keeper
@@ -73,7 +77,7 @@
 func newBed(targets []*schemav1.Registration) *bed {
 	b := &bed{
 		state: registry.NewState(), lead: true, until: map[string]map[uint32]time.Duration{}, silent: map[string]bool{}, dead: map[string]bool{},
-		late: map[string]bool{},
+		late: map[string]bool{}, process: map[string]int{}, opened: map[uint64]int{}, taken: map[uint64]int{},
 	}
 	for _, t := range targets {
 		t.Service = "files"
@@ -121,6 +125,15 @@
 	if b.dead[g.Target] {
 		return &upstream.Error{Stage: upstream.NotSent, Cause: context.DeadlineExceeded}
 	}
+	connection, process := g.Fence<<32+uint64(g.First), b.process[g.Target]
+	if opened, ok := b.opened[connection]; g.Renewal && (!ok || opened != process) {
+		return ErrNoConnection
+	}
+	b.opened[connection] = process
+	if first, ok := b.taken[connection]; ok && first != process {
+		b.violations = append(b.violations, "a second process at "+g.Target+" got a fence that the first had")
+	}
+	b.taken[connection] = process
 	// The target's clock may run slow by the whole error.
 	until := b.now + g.Hold + time.Duration(float64(g.Hold)*clockError)
 	if b.late[g.Target] {
@@ -254,6 +267,35 @@
 		Expect(first.GetState()).To(Equal(schemav1.RangeState_RANGE_STATE_ACTIVE))
 	})
 
+	It("gives another process at the address of an owner no fence that the owner had (cold_return, sbfa-fitting-grown trouble-1)", func() {
+		b := newBed(owners(3))
+		b.run(5 * time.Second)
+		b.dead["t0"] = true
+		b.run(500 * time.Millisecond)
+		b.dead["t0"] = false
+		b.mu.Lock()
+		b.process["t0"]++
+		delete(b.until, "t0")
+		b.mu.Unlock()
+		b.run(3 * time.Second)
+		Expect(b.rangesOf("t0")).To(Equal(rangesPerOwner), "the process is granted the keys under a new fence")
+	})
+
+	It("raises the fences of all keys when it takes over, because it cannot know to which processes the last leader spoke", func() {
+		b := newBed(owners(2))
+		b.run(5 * time.Second)
+		before := b.state.Keys("files").GetRanges()[0].GetFence()
+		b.mu.Lock()
+		b.opened = map[uint64]int{}
+		b.process["t0"]++
+		delete(b.until, "t0")
+		b.mu.Unlock()
+		b.keeper = New(b.state, b, b, b.clock)
+		b.run(2 * time.Second)
+		Expect(b.state.Keys("files").GetRanges()[0].GetFence()).To(BeNumerically(">", before))
+		Expect(b.rangesOf("t0")).To(Equal(rangesPerOwner))
+	})
+
 	It("takes every grant as fresh when it takes over from another leader", func() {
 		b := newBed(owners(2))
 		b.run(5 * time.Second)
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -59,13 +59,15 @@
 	if proto.Unmarshal(command, decoded) == nil {
 		s.mu.Lock()
 		next := s.version + 1
-		result.Applied = s.apply(decoded, next)
-		result.Fence = s.fence
-		if result.Applied {
+		if s.raisesFence(decoded.GetRange()) {
+			// Entry hosts do not use fences, so that their views stay as they are.
+			result.Applied = s.setRange(decoded.GetRange())
+		} else if result.Applied = s.apply(decoded, next); result.Applied {
 			s.version = next
 			close(s.changed)
 			s.changed = make(chan struct{})
 		}
+		result.Fence = s.fence
 		s.mu.Unlock()
 	}
 	encoded, err := proto.Marshal(result)
@@ -226,11 +228,35 @@
 	return true
 }
 
-func (s *State) applyRange(change *schemav1.RangeChange, version uint64) bool {
-	table := s.keys[change.GetService()]
-	at := slices.IndexFunc(table.GetRanges(), func(r *schemav1.KeyRange) bool {
-		return r.GetFence() == change.GetExpectedFence() && r.GetFirst() == change.GetRange().GetFirst()
+// rangeAt returns the table of a service and the place of the range with a first key and a fence, or a negative place.
+func (s *State) rangeAt(service string, first uint32, fence uint64) (*schemav1.KeyTable, int) {
+	table := s.keys[service]
+	return table, slices.IndexFunc(table.GetRanges(), func(r *schemav1.KeyRange) bool {
+		return r.GetFence() == fence && r.GetFirst() == first
 	})
+}
+
+// raisesFence reports whether a change gives a range a new fence and nothing else.
+func (s *State) raisesFence(change *schemav1.RangeChange) bool {
+	table, at := s.rangeAt(change.GetService(), change.GetRange().GetFirst(), change.GetExpectedFence())
+	if at < 0 || change.GetRange().GetFence() != 0 {
+		return false
+	}
+	next := proto.Clone(change.GetRange()).(*schemav1.KeyRange)
+	next.Fence = change.GetExpectedFence()
+	return proto.Equal(table.GetRanges()[at], next)
+}
+
+func (s *State) applyRange(change *schemav1.RangeChange, version uint64) bool {
+	if !s.setRange(change) {
+		return false
+	}
+	s.stamps.keys[change.GetService()] = version
+	return true
+}
+
+func (s *State) setRange(change *schemav1.RangeChange) bool {
+	table, at := s.rangeAt(change.GetService(), change.GetRange().GetFirst(), change.GetExpectedFence())
 	if at < 0 {
 		return false
 	}
@@ -243,15 +269,11 @@
 	ranges := slices.Clone(table.GetRanges())
 	ranges[at] = next
 	s.keys[change.GetService()] = &schemav1.KeyTable{Service: table.GetService(), Ranges: ranges}
-	s.stamps.keys[change.GetService()] = version
 	return true
 }
 
 func (s *State) applySplit(split *schemav1.RangeSplit, version uint64) bool {
-	table := s.keys[split.GetService()]
-	at := slices.IndexFunc(table.GetRanges(), func(r *schemav1.KeyRange) bool {
-		return r.GetFence() == split.GetExpectedFence() && r.GetFirst() == split.GetFirst()
-	})
+	table, at := s.rangeAt(split.GetService(), split.GetFirst(), split.GetExpectedFence())
 	if at < 0 || len(split.GetStarts()) == 0 {
 		return false
 	}
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -75,6 +75,18 @@
 })
 
 var _ = Describe("Key ranges", func() {
+	It("raises a fence alone without a new view, since entry hosts do not use fences", func() {
+		s := NewState()
+		owner := &schemav1.KeyRange{Last: 65535, Owner: "a", OwnerStartedUnixMs: 1, State: schemav1.RangeState_RANGE_STATE_ACTIVE}
+		apply(s, &schemav1.RegistryCommand{Keys: &schemav1.KeyTable{Service: "files", Ranges: []*schemav1.KeyRange{owner}}})
+		before, version := s.Keys("files").GetRanges()[0].GetFence(), s.Version()
+		result := apply(s, &schemav1.RegistryCommand{Range: &schemav1.RangeChange{Service: "files", ExpectedFence: before, Range: owner}})
+		Expect(result.GetApplied()).To(BeTrue())
+		Expect(result.GetFence()).To(BeNumerically(">", before))
+		Expect(s.Keys("files").GetRanges()[0].GetFence()).To(Equal(result.GetFence()))
+		Expect(s.Version()).To(Equal(version))
+	})
+
 	It("gives each owner a fence above all earlier ones, and drops decisions that were overtaken", func() {
 		s := NewState()
 		table := &schemav1.KeyTable{Service: "files", Ranges: []*schemav1.KeyRange{{First: 0, Last: 9, Owner: "a"}, {First: 10, Last: 19, Owner: "b"}}}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 
 	"almondrock.example/almondrock/pkg/internal/sockets"
@@ -35,6 +36,8 @@
 	inlineBody = 8 << 10
 	// maxStale is the number of answers to earlier requests that are skipped on one connection.
 	maxStale = 2
+	// sweepEvery is how often idle connections past their time are closed: targets close them about as often.
+	sweepEvery = 2 * time.Second
 	// userTimeout ends a connection whose data is not acknowledged.
 	userTimeout = 3 * time.Second
 )
@@ -54,8 +57,9 @@
 	options Options
 	dials   atomic.Int64
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu      sync.Mutex
+	idle    map[string][]*conn
+	sweptAt time.Time
 }
 
 // New returns a client without connections.
@@ -127,6 +131,8 @@
 	Deadline time.Time
 	// Fresh asks for a connection that was not used before.
 	Fresh bool
+	// Kept asks for a connection that was used before; Send fails with ErrNotKept if there is none.
+	Kept bool
 }
 
 // Response is an answer whose header has arrived. Finish or Abort must be called.
@@ -175,6 +181,9 @@
 			return cn, nil
 		}
 	}
+	if r.Kept {
+		return nil, merry.Wrap(ErrNotKept)
+	}
 	limit := time.Now().Add(c.options.DialTimeout)
 	if r.Deadline.Before(limit) {
 		limit = r.Deadline
@@ -373,13 +382,24 @@
 			r.conn.keepAlive = max(0, stated-idleMargin)
 		}
 		r.conn.reusableUntil = time.Now().Add(r.conn.keepAlive)
-		c := r.client
-		c.mu.Lock()
-		c.idle[r.conn.pool] = append(c.idle[r.conn.pool], r.conn)
-		c.mu.Unlock()
+		r.client.keep(r.conn)
 	})
 }
 
+// keep puts a connection back into its pool, and now and then closes those that were idle for too long.
+func (c *Client) keep(cn *conn) {
+	c.mu.Lock()
+	c.idle[cn.pool] = append(c.idle[cn.pool], cn)
+	due := time.Since(c.sweptAt) > sweepEvery
+	if due {
+		c.sweptAt = time.Now()
+	}
+	c.mu.Unlock()
+	if due {
+		c.CloseIdle(nil)
+	}
+}
+
 func (r *Response) reusable() bool {
 	if r.Close || r.conn.keepAlive == 0 || r.conn.reader.Buffered() > 0 || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
 		return false
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -80,6 +80,26 @@
 	var c *Client
 	BeforeEach(func() { c = New(Options{IDHeader: "Request-Id"}) })
 
+	It("opens no connection for a request that asks for a kept one", func() {
+		address := answerAll(func(*http.Request, string) string {
+			return "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n"
+		})
+		client := New(Options{IDHeader: "Request-Id"})
+		kept := request(address, "1")
+		kept.Kept = true
+		_, err := client.Send(context.Background(), kept) //nolint:bodyclose // there is no answer
+		Expect(err).To(MatchError(ErrNotKept))
+		Expect(client.Dials()).To(BeZero())
+		for _, r := range []*Request{request(address, "1"), kept} {
+			response, err := client.Send(context.Background(), r) //nolint:bodyclose // Finish ends it
+			Expect(err).NotTo(HaveOccurred())
+			_, _, err = response.ReadAll(10)
+			Expect(err).NotTo(HaveOccurred())
+			response.Finish()
+		}
+		Expect(client.Dials()).To(Equal(int64(1)))
+	})
+
 	It("uses one connection for requests one after the other", func() {
 		address := answerAll(func(r *http.Request, _ string) string { return answer(r.Header.Get("Request-Id"), "ok") })
 		for _, id := range []string{"1", "2", "3"} {
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -4,8 +4,13 @@
 	"errors"
 	"fmt"
 	"os"
+
+	"github.com/ansel1/merry/v2"
 )
 
+// ErrNotKept is the cause of the failure of a request that asked for a kept connection when there was none.
+var ErrNotKept = merry.Sentinel("no connection was kept")
+
 // Stage is how far a request came.
 type Stage int
 
