Give cold targets' tokens random phases, and drop unused ones

The log of the entry hosts shows 14 different hosts of the data centre with one request each: every host started with a full token, and 18 to 23 hosts share a target at this size.

Change: a host starts at a random phase of its part of the rate, and loses a token that it has not used for a second, so that all hosts together use at most what was earned in two seconds. This bounds owners of keys too, which all hosts may ask.

--- a/pkg/dispatch/core.go
+++ b/pkg/dispatch/core.go
@@ -33,8 +33,6 @@
 	queueAtTarget = 2
 	// defaultSlots is assumed for a target that does not announce its slots.
 	defaultSlots = 1
-	// coldBurst is the number of requests that a cold target may get at once from one host.
-	coldBurst = 1.0
 )
 
 // Options configure a Core.
@@ -112,7 +110,7 @@
 			known = &target{hash: Hash(next.ID), pace: unknownPace}
 		}
 		if next.Cold && !known.Cold {
-			known.cold = bucket{level: coldBurst, at: now, used: true}
+			known.cold = coldTokens{level: c.options.Rand(), at: now}
 		}
 		known.Target = next
 		c.targets[next.ID] = known
@@ -272,8 +270,8 @@
 	if best == nil {
 		return nil, reason
 	}
-	if best.Cold && !best.cold.take(now, c.coldShare(s, r.Owner != ""), coldBurst) {
-		return nil, ColdOnly
+	if best.Cold {
+		best.cold.take()
 	}
 	choice := &Choice{
 		Target: best.Target, Expected: bestCost, Usual: base, InFlight: best.load(), ReportAge: -1,
@@ -308,7 +306,7 @@
 		return Unreachable
 	case t.Cold && t.DataCentre != c.options.DataCentre && r.Owner == "":
 		return ColdOnly
-	case t.Cold && !t.hasColdToken(now, c.coldShare(s, r.Owner != "")):
+	case t.Cold && !t.cold.ready(now, c.coldShare(s, r.Owner != ""), c.options.Rand):
 		return ColdOnly
 	case r.Spare && (t.Cold || t.load() >= t.Slots):
 		return Busy
@@ -320,11 +318,6 @@
 	return ""
 }
 
-func (t *target) hasColdToken(now time.Duration, rate float64) bool {
-	t.cold.fill(now, rate, coldBurst)
-	return t.cold.level >= 1
-}
-
 // coldShare is this host's part of the rate of a cold target. Shared targets get requests only from hosts of their own
 // data centre while they are cold; owners of keys get them from all.
 func (c *Core) coldShare(s *service, owner bool) float64 {
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -105,7 +105,7 @@
 	failuresAt time.Duration
 	broken     int
 	downUntil  time.Duration
-	cold       bucket
+	cold       coldTokens
 }
 
 func (t *target) load() int { return t.own + t.peers }
