Pace large answers on thin links and pass them on while they arrive

Cause: on the grown sites an entry host has 5.6 Mbit/s.

Change: answers of more than 50 ms on the link are passed on while they arrive, in pieces of 10 ms, and all of them together take at most 0.8 of the link. The capacity of the link comes from the settings; on 1,000 Mbit/s nothing changes.

Answers that break off after their first 35 KB can no longer be replaced on these links.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -51,8 +51,8 @@
 	notRun bool
 }
 
-// read checks the answer and reads its body, unless that is long.
-func (a *answer) read(p Protocol) error {
+// read checks the answer and reads its body, unless that is longer than whole.
+func (a *answer) read(p Protocol, whole int64) error {
 	a.notRun = a.response.Header.Get(p.NotRun) != "" || a.response.StatusCode == http.StatusMisdirectedRequest
 	if !a.notRun && a.response.StatusCode < http.StatusMultipleChoices {
 		if a.response.Header.Get(p.Proof) == "" {
@@ -63,7 +63,7 @@
 		}
 	}
 	var err error
-	if a.body, a.whole, err = a.response.ReadAll(wholeAnswer); err != nil {
+	if a.body, a.whole, err = a.response.ReadAll(whole); err != nil {
 		return err
 	}
 	if a.whole {
@@ -100,7 +100,7 @@
 		header["Content-Length"] = []string{strconv.FormatInt(a.response.ContentLength, 10)}
 	}
 	x.w.WriteHeader(a.response.StatusCode)
-	if err := a.stream(x.w); err != nil {
+	if err := a.stream(x); err != nil {
 		a.response.Abort()
 		klog.InfoS("answer broke off", "request", x.id, "target", x.target, "err", err)
 		// An answer that ends early must not look complete.
@@ -110,12 +110,11 @@
 	return result
 }
 
-func (a *answer) stream(w io.Writer) error {
-	if _, err := w.Write(a.body); err != nil {
+func (a *answer) stream(x *exchange) error {
+	if _, err := x.w.Write(a.body); err != nil {
 		return err
 	}
-	_, err := io.Copy(w, a.response.Body)
-	return err
+	return x.host.pacer.copy(x.r.Context(), x.w, a.response.Body)
 }
 
 // fail answers with a status of this host's own.
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -30,9 +30,6 @@
 	answerSlack = 40 * time.Millisecond
 	// leastTime is the time that a further attempt must have left to be worth sending.
 	leastTime = 50 * time.Millisecond
-	// wholeAnswer is the size in bytes up to which an answer is read to its end before it is passed on, so that one that
-	// breaks off can be replaced by another.
-	wholeAnswer = 1 << 20
 )
 
 // exchange is one request of a caller.
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -52,7 +52,7 @@
 		t.err = err
 	} else {
 		t.answer = &answer{response: response}
-		if t.err = t.answer.read(x.host.options.Protocol); t.err != nil {
+		if t.err = t.answer.read(x.host.options.Protocol, x.host.pacer.whole); t.err != nil {
 			response.Abort()
 		}
 	}
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -54,6 +54,8 @@
 	Decode func(*schemav1.RouteDocument) (*routes.Configuration, error)
 	// Dispatch has the budgets; the place is filled in.
 	Dispatch dispatch.Options
+	// Link is the capacity of the host's network link in bytes per second; 0 when it is not known.
+	Link float64
 	// Grace is the time from the order to stop until the process must have ended.
 	Grace time.Duration
 }
@@ -78,6 +80,7 @@
 	leaving     atomic.Bool
 	keyLoads    keyLoads
 	measures    *measures
+	pacer       *pacer
 
 	splitMu  sync.Mutex
 	splitter *routes.Splitter
@@ -97,7 +100,7 @@
 		entry:    &schemav1.EntryHost{Name: options.Name, DataCentre: options.DataCentre, LoadAddress: options.Load},
 		upstream: upstream.New(upstream.Options{IDHeader: options.Protocol.RequestID}),
 		client:   rpc.NewClient(rpc.ClientOptions{MaxConnections: 1, BackoffMax: dialBackOff}), splitter: routes.NewSplitter(),
-		loadChanged: make(chan struct{}, 1), measures: newMeasures(options.Name, options.DataCentre),
+		loadChanged: make(chan struct{}, 1), measures: newMeasures(options.Name, options.DataCentre), pacer: newPacer(options.Link),
 	}
 	h.view.Store(&view{})
 	h.peers.Store(&[]*net.UDPAddr{})
