--- a/pkg/grants/keeper.go
+++ b/pkg/grants/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -115,7 +116,9 @@
 		return
 	}
 	byService := map[string][]*schemav1.Registration{}
-	for _, target := range k.state.Targets() {
+	targets := k.state.Targets()
+	k.forgetEnded(targets)
+	for _, target := range targets {
 		byService[target.GetService()] = append(byService[target.GetService()], target)
 	}
 	for name, service := range services {
@@ -137,6 +140,26 @@
 	}
 }
 
+// keptEnded is the number of ended targets that may be remembered, so that they are not looked for in each step.
+const keptEnded = 256
+
+// forgetEnded drops what is remembered of targets that have ended.
+func (k *Keeper) forgetEnded(targets []*schemav1.Registration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if max(len(k.seen), len(k.silentUntil), len(k.shiftedAt)) <= len(targets)+keptEnded {
+		return
+	}
+	live := map[string]bool{}
+	for _, target := range targets {
+		live[target.GetId()] = true
+	}
+	ended := func(id string, _ time.Duration) bool { return !live[id] }
+	maps.DeleteFunc(k.seen, ended)
+	maps.DeleteFunc(k.silentUntil, ended)
+	maps.DeleteFunc(k.shiftedAt, ended)
+}
+
 // candidates are the ready targets of a service. Those that are cold or new are unfit.
 func (k *Keeper) candidates(service string, targets []*schemav1.Registration) []Candidate {
 	now := k.clock()
--- a/pkg/grants/keeper_test.go
+++ b/pkg/grants/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -307,6 +308,19 @@
 		Expect(b.rangesOf("t0")).To(BeZero())
 	})
 
+	It("forgets targets that have ended, so that a long run with many releases needs no more memory", func() {
+		b := newBed(owners(2))
+		b.run(time.Second)
+		for i := range 4 * keptEnded {
+			id := fmt.Sprintf("ended%d", i)
+			b.keeper.seen[id], b.keeper.shiftedAt[id], b.keeper.silentUntil[id] = 0, 0, 0
+		}
+		b.run(100 * time.Millisecond)
+		Expect(len(b.keeper.seen)).To(Equal(2))
+		Expect(b.keeper.shiftedAt).NotTo(HaveKey("ended0"))
+		Expect(b.keeper.silentUntil).NotTo(HaveKey("ended0"))
+	})
+
 	It("calls no target without the leader's lease", func() {
 		b := newBed(owners(2))
 		b.lead = false
--- a/pkg/grants/plan.go
+++ b/pkg/grants/plan.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"almondrock.example/almondrock/pkg/internal/order"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -53,7 +54,7 @@
 		if c.GetId() == avoid {
 			continue
 		}
-		if best == nil || cmp.Or(compareBool(c.Unfit, best.Unfit), cmp.Compare(load(held, c), load(held, best)),
+		if best == nil || cmp.Or(order.Bools(c.Unfit, best.Unfit), cmp.Compare(load(held, c), load(held, best)),
 			cmp.Compare(c.GetId(), best.GetId())) < 0 {
 			best = c
 		}
@@ -68,17 +69,6 @@
 	return held[c.GetId()] / float64(max(1, c.GetSlots()))
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // keyShare is the weight of an even number of keys beside an even number of requests: what is busy next is not known.
 const keyShare = 0.25
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"strings"
+
+	"almondrock.example/almondrock/pkg/internal/order"
 )
 
 // State tells what work a target may get.
@@ -106,16 +108,5 @@
 // CompareIDs orders shard ids.
 func CompareIDs(a, b ShardID) int {
 	return cmp.Or(strings.Compare(a.Keyspace, b.Keyspace), cmp.Compare(a.Shard, b.Shard),
-		cmp.Compare(a.KeyHash, b.KeyHash), compareBool(a.Hot, b.Hot))
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
+		cmp.Compare(a.KeyHash, b.KeyHash), order.Bools(a.Hot, b.Hot))
 }
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -64,17 +64,11 @@
 
 // Service is a group of targets that run the same requests.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections is the number of connections that one target accepts from all callers together.
-	MaxConnections int
-	// ColdPeriod is how long a target stays cold after its start; ColdRate is in requests per second.
-	ColdPeriod time.Duration
-	ColdRate   float64
+	Name string
+	// ColdRate is what a cold target tolerates, in requests per second.
+	ColdRate float64
 	// Exclusive services have one owner for each key.
 	Exclusive bool
-	// WarmUp is how long keys are slow that arrive without a handover.
-	WarmUp time.Duration
 }
 
 // Limits bound what a caller may send.
