--- a/pkg/grants/balance.go
+++ b/pkg/grants/balance.go
@@ -78,14 +78,14 @@
 			moving++
 		}
 	}
-	now := k.clock()
-	r := (*schemav1.KeyRange)(nil)
-	if moving < maxMoving {
-		r = NextShift(table.GetRanges(), candidates, heat, func(owner string) bool {
-			at, ok := k.shiftedAt[owner]
-			return !ok || now-at >= shiftPause
-		})
+	if moving >= maxMoving {
+		return nil
 	}
+	now := k.clock()
+	r := NextShift(table.GetRanges(), candidates, heat, func(owner string) bool {
+		at, ok := k.shiftedAt[owner]
+		return !ok || now-at >= shiftPause
+	})
 	if r == nil {
 		return nil
 	}
