--- a/pkg/dispatch/core.go
+++ b/pkg/dispatch/core.go
@@ -164,6 +164,7 @@
 // setOwn divides the targets of this data centre among its hosts. A host prefers its part, whose load it knows exactly. Of the
 // targets of other regions it prefers a few, because it learns from their answers only.
 func (c *Core) setOwn() {
+	place := Hash(c.options.DataCentre) + uint32(c.rank)
 	for _, s := range c.services {
 		far := 0
 		for _, t := range s.targets {
@@ -176,7 +177,7 @@
 		for _, t := range s.targets {
 			switch {
 			case t.Region != c.options.Region:
-				t.preferred = t.hash%farParts == (Hash(c.options.DataCentre)+uint32(c.rank))%farParts
+				t.preferred = t.hash%farParts == place%farParts
 			case t.DataCentre == c.options.DataCentre:
 				t.preferred = index%c.hostsHere == c.rank
 				index++
--- a/pkg/grants/balance.go
+++ b/pkg/grants/balance.go
@@ -13,20 +13,24 @@
 func (k *Keeper) Observe(service string, bucket, count uint32) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.heat[service] == nil {
-		k.heat[service] = &Heat{}
-	}
-	k.heat[service].Add(k.clock(), bucket, count)
+	k.heatOf(service).Add(k.clock(), bucket, count)
 }
 
 // ObserveAnswers takes the answers of an owner of keys that an entry host has seen.
 func (k *Keeper) ObserveAnswers(service, owner string, count uint32, total time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.heat[service] == nil {
-		k.heat[service] = &Heat{}
+	k.heatOf(service).AddAnswers(k.clock(), owner, count, total)
+}
+
+// heatOf returns the rates of a service, new ones if there are none. k.mu is held.
+func (k *Keeper) heatOf(service string) *Heat {
+	heat := k.heat[service]
+	if heat == nil {
+		heat = &Heat{}
+		k.heat[service] = heat
 	}
-	k.heat[service].AddAnswers(k.clock(), owner, count, total)
+	return heat
 }
 
 // spread takes one step to spread the requests of an owner that has far more than the others. It reports whether it did.
