--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/dispatch"
+	"almondrock.example/almondrock/pkg/httpserver"
 	"almondrock.example/almondrock/pkg/routes"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -22,15 +23,16 @@
 )
 
 const (
-	// netHTTPHeaderSlack is the number of bytes that net/http adds to MaxHeaderBytes.
-	netHTTPHeaderSlack = 4 << 10
-	// defaultMaxHeader is the largest request header in bytes. The limit of the configuration cannot be used, because net/http
-	// reads the value once, before a configuration is known.
-	defaultMaxHeader = 64 << 10
+	// maxRequestHeader is the largest request header in bytes. It exceeds what configurations allow callers, so that a header is not
+	// refused under a limit that has just been raised.
+	maxRequestHeader = 64 << 10
 	// headerTimeout and idleTimeout apply to connections of callers. idleTimeout exceeds the idle times that configurations
 	// allow callers.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
+	// callerWriteTimeout is how long a caller may take to receive 64 KiB. It is far above the time on the slowest link, and bounds how
+	// long a caller that has gone silent holds a response in memory.
+	callerWriteTimeout = 15 * time.Second
 	// drainDelay is how long new connections may still arrive after the host has stopped being ready: the load balancer
 	// removes a host after two failed readiness checks, which are one second apart.
 	drainDelay = 2200 * time.Millisecond
@@ -89,7 +91,7 @@
 	splitMu  sync.Mutex
 	splitter *routes.Splitter
 
-	callers *http.Server
+	callers *httpserver.Server
 	ready   *http.Server
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -110,10 +112,10 @@
 	h.peers.Store(&[]*net.UDPAddr{})
 	h.SetSeeds(options.Seeds)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.callers = &http.Server{
-		Handler: http.HandlerFunc(h.serve), MaxHeaderBytes: defaultMaxHeader - netHTTPHeaderSlack,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLogger(),
-	}
+	h.callers = httpserver.New(httpserver.Options{
+		Handler: http.HandlerFunc(h.serve), MaxHeaderBytes: maxRequestHeader,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: callerWriteTimeout,
+	})
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+options.Protocol.ReadyPath, h.serveReady)
 	h.ready = &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout, ErrorLog: discardLogger()}
@@ -144,7 +146,7 @@
 		return merry.Wrap(err)
 	}
 	for _, server := range []struct {
-		server  *http.Server
+		server  interface{ Serve(net.Listener) error }
 		address string
 	}{{h.ready, h.options.ReadinessAddress}, {h.callers, h.options.CallerAddress}} {
 		listener, err := net.Listen("tcp", server.address)
@@ -181,7 +183,7 @@
 func (h *Host) Stop() {
 	began := time.Now()
 	h.shuttingDown.Store(true)
-	h.callers.SetKeepAlivesEnabled(false)
+	h.callers.Drain()
 	klog.InfoS("stopping", "host", h.options.Name)
 	time.Sleep(min(drainDelay, h.options.GracePeriod/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.options.GracePeriod-stopMargin))
