--- /dev/null
+++ b/pkg/entry/endless_test.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// serveRaw starts a target that responds to each request with respond, and returns its address.
+func serveRaw(respond func(c net.Conn, id string)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					respond(c, r.Header.Get("Id"))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// writeForever writes text until the connection is closed.
+func writeForever(c net.Conn, text string) {
+	chunk := strings.Repeat(text, 1+(16<<10)/len(text))
+	for {
+		if _, err := io.WriteString(c, chunk); err != nil {
+			return
+		}
+	}
+}
+
+// applyAddresses sets a view with a target at each address.
+func applyAddresses(h *Host, addresses []string) {
+	update := &schemav1.ViewUpdate{Version: 1, Full: true, Routes: &schemav1.RouteDocument{Revision: 1}, LeaderKnown: true}
+	for i, address := range addresses {
+		update.Targets = append(update.Targets, &schemav1.Registration{
+			Id: "t" + strconv.Itoa(i), StartedUnixMs: 1, Service: "desk", Address: address, DataCentre: "n", Slots: 2, Life: schemav1.Life_LIFE_READY,
+		})
+	}
+	h.applyUpdate(update, true)
+}
+
+func respondOK(c net.Conn, id string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nContent-Length: 2\r\n\r\nok", id)
+}
+
+var _ = Describe("Host with targets that send bytes without end", func() {
+	endless := []func(c net.Conn, id string){
+		func(c net.Conn, _ string) { writeForever(c, "x") },
+		func(c net.Conn, _ string) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nA: "); writeForever(c, "x") },
+		func(c net.Conn, _ string) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			writeForever(c, "A: b\r\n")
+		},
+		func(c net.Conn, _ string) { writeForever(c, "HTTP/1.1 103 Early Hints\r\n\r\n") },
+		func(c net.Conn, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 500 Error\r\nId: %s\r\nContent-Length: 900000000000\r\n\r\n", id)
+			writeForever(c, "x")
+		},
+		func(c net.Conn, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+			writeForever(c, "5\r\nabcde\r\n")
+		},
+	}
+
+	It("stays within 64 MiB over idle while 50 of 100 targets do it, and gives each caller its answer long before the deadline", func() {
+		h := startHost()
+		addresses := make([]string, 100)
+		for i := range addresses {
+			respond := respondOK
+			if i%2 == 0 {
+				respond = endless[i/2%len(endless)]
+			}
+			addresses[i] = serveRaw(respond)
+		}
+		applyAddresses(h, addresses)
+		runtime.GC()
+		var idle, stats runtime.MemStats
+		runtime.ReadMemStats(&idle)
+		stop := make(chan struct{})
+		var peak uint64
+		var sampler sync.WaitGroup
+		sampler.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+					runtime.ReadMemStats(&stats)
+					peak = max(peak, stats.HeapAlloc)
+				}
+			}
+		})
+		var served, slow atomic.Int64
+		var callers sync.WaitGroup
+		const requests = 400
+		for range 20 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				for range requests / 20 {
+					began := time.Now()
+					status, _, _ := sendRequest(h, "/safe/")
+					if status == http.StatusOK {
+						served.Add(1)
+					}
+					if time.Since(began) > time.Second {
+						slow.Add(1)
+					}
+				}
+			})
+		}
+		callers.Wait()
+		close(stop)
+		sampler.Wait()
+		Expect(peak).To(BeNumerically("<", idle.HeapAlloc+64<<20))
+		Expect(slow.Load()).To(BeZero())
+		Expect(served.Load()).To(BeNumerically(">", requests/2))
+	})
+
+	It("ends an endless body that is streamed when the caller leaves, and at the deadline of the request", func() {
+		var ended atomic.Int64
+		address := serveRaw(func(c net.Conn, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+			writeForever(c, "400\r\n"+strings.Repeat("x", 1024)+"\r\n")
+			ended.Add(1)
+		})
+		h := startHost()
+		applyAddresses(h, []string{address})
+		get := func(deadline string) *http.Response {
+			r, err := http.NewRequest("GET", "http://"+h.options.CallerAddress+"/safe/", nil)
+			Expect(err).NotTo(HaveOccurred())
+			r.Host = "a"
+			r.Header = http.Header{"Id": {"1"}, "Left-Ms": {deadline}}
+			response, err := http.DefaultClient.Do(r)
+			Expect(err).NotTo(HaveOccurred())
+			return response
+		}
+		leaving := get("2000")
+		leaving.Body.Close()
+		Eventually(ended.Load, "1s").Should(BeEquivalentTo(1))
+		began := time.Now()
+		staying := get("500")
+		_, err := io.Copy(io.Discard, staying.Body)
+		Expect(err).To(HaveOccurred(), "a response that was cut off must not look complete")
+		Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond))
+		Eventually(ended.Load, "1s").Should(BeEquivalentTo(2))
+	})
+})
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -58,7 +58,7 @@
 	streamCancels []context.CancelFunc
 	// mayHaveRun is set once an attempt may have run the request. The caller must then not be told that it did not run.
 	mayHaveRun bool
-	// errorResponse is the last 5xx response of a target. It is held back while further attempts are made.
+	// errorResponse is the last 5xx response of a target that was read completely. It is held back while further attempts are made.
 	errorResponse *response
 	// target is the ID of the last target.
 	target string
@@ -216,8 +216,11 @@
 		outcome.Outcome = dispatch.OutcomeFailed
 		x.finishAttempt(choice, outcome)
 		x.mayHaveRun = true
-		x.errorResponse = targetResponse
 		if x.route.Kind.Idempotent() && raw.StatusCode != http.StatusGatewayTimeout && x.mayRetry(choice) {
+			targetResponse.discard()
+			if targetResponse.complete {
+				x.errorResponse = targetResponse
+			}
 			return "", true
 		}
 		return targetResponse.deliver(x), false
@@ -234,6 +237,7 @@
 
 // handleNotRun handles resp, in which the target states that it did not run the request.
 func (x *exchange) handleNotRun(ctx context.Context, choice *dispatch.Choice, resp *response, outcome dispatch.Result) (string, bool) {
+	resp.discard()
 	misdirected := resp.raw.StatusCode == http.StatusMisdirectedRequest
 	outcome.Outcome = dispatch.OutcomeShed
 	if misdirected && !x.exclusive {
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -125,6 +125,9 @@
 // finishFailedAttempt finishes an attempt that failed while the other one is still running.
 func (x *exchange) finishFailedAttempt(result *attemptResult) {
 	outcome := dispatch.Result{Outcome: dispatch.OutcomeFailed, Latency: result.latency}
+	if result.response != nil {
+		result.response.discard()
+	}
 	switch {
 	case result.response == nil && result.failure().Stage == upstream.NotSent:
 		outcome.Outcome = dispatch.OutcomeConnectionFailed
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -72,6 +72,13 @@
 	return nil
 }
 
+// discard ends a response that is not delivered. The connection of one that has not been read to its end is closed.
+func (resp *response) discard() {
+	if !resp.complete {
+		resp.raw.Abort()
+	}
+}
+
 // deliver sends the response to the caller and returns the result for the log. It panics with http.ErrAbortHandler when a
 // streamed body cannot be delivered to its end.
 func (resp *response) deliver(x *exchange) string {
--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -15,6 +15,8 @@
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/net/http/httpguts"
 	"k8s.io/klog/v2"
+
+	"almondrock.example/almondrock/pkg/internal/headlimit"
 )
 
 const (
@@ -35,7 +37,7 @@
 	server *Server
 	raw    net.Conn
 	remote string
-	head   *headLimiter
+	head   *headlimit.Reader
 	reader *bufio.Reader
 	writer *bufio.Writer
 	ctx    context.Context
@@ -59,7 +61,7 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	head := &headLimiter{source: raw}
+	head := headlimit.New(raw)
 	c := &conn{
 		server: s, raw: raw, remote: raw.RemoteAddr().String(), head: head, reader: bufio.NewReaderSize(head, bufferSize),
 		writer: bufio.NewWriterSize(&timedWriter{raw, s.options.WriteTimeout}, bufferSize),
@@ -188,9 +190,9 @@
 // readRequest reads and checks the header of a request.
 func (c *conn) readRequest() (*http.Request, error) {
 	c.setReadDeadline(time.Now().Add(c.server.options.ReadHeaderTimeout))
-	c.head.begin(c.server.options.MaxHeaderBytes)
+	c.head.Begin(c.server.options.MaxHeaderBytes)
 	request, err := http.ReadRequest(c.reader)
-	exceeded, readErr := c.head.end()
+	exceeded, readErr := c.head.End()
 	c.setReadDeadline(time.Time{})
 	if err != nil {
 		switch {
@@ -376,38 +378,6 @@
 	klog.ErrorS(nil, "request handler panicked", "caller", c.remote, "method", x.request.Method, "reason", reason, "stack", string(debug.Stack()))
 }
 
-// headLimiter passes on reads and limits the number of bytes that are read for one request header.
-type headLimiter struct {
-	source    io.Reader
-	limited   bool
-	remaining int
-	// err is the last error of a limited read.
-	err error
-}
-
-// begin starts to limit reads to limit bytes. Data that is buffered already is not counted.
-func (l *headLimiter) begin(limit int) { l.limited, l.remaining, l.err = true, limit, nil }
-
-// end stops limiting reads. It reports whether the limit was reached, and the error of the source if there was one.
-func (l *headLimiter) end() (exceeded bool, err error) {
-	l.limited = false
-	return l.remaining <= 0, l.err
-}
-
-// Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(p)
-	}
-	if l.remaining <= 0 {
-		return 0, io.EOF
-	}
-	n, err := l.source.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	l.err = err
-	return n, err
-}
-
 // writeChunk is the number of bytes that must be accepted by the caller within the write timeout.
 const writeChunk = 64 << 10
 
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -17,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 
+	"almondrock.example/almondrock/pkg/internal/headlimit"
 	"almondrock.example/almondrock/pkg/internal/sockets"
 )
 
@@ -34,6 +35,11 @@
 	// maxInlineBody is the size in bytes up to which a body is written together with the header in one call. It fits into
 	// the send buffer of the socket, so that the write cannot block on a target that responds before it reads.
 	maxInlineBody = 8 << 10
+	// maxResponseHeader bounds the bytes of all headers that are read for one request: status lines, fields, and interim and stale
+	// responses before the response. A target in trouble may send bytes without end.
+	maxResponseHeader = 64 << 10
+	// maxStaleBody bounds the body of a response to an earlier request that is skipped.
+	maxStaleBody = 1 << 20
 	// maxStaleResponses is how many responses to earlier requests are skipped before the connection is given up.
 	maxStaleResponses = 2
 	// sweepInterval is how often expired idle connections are closed, which is about as often as targets close them.
@@ -93,6 +99,7 @@
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
+	head    *headlimit.Reader
 	reader  *bufio.Reader
 	poolKey string
 	// reusableUntil is when the target may close the connection; it must not be reused after that.
@@ -201,7 +208,10 @@
 		return nil, err
 	}
 	c.dials.Add(1)
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), poolKey: r.PoolKey, idleTimeout: defaultIdleTimeout}, nil
+	head := headlimit.New(raw)
+	return &conn{
+		Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize), poolKey: r.PoolKey, idleTimeout: defaultIdleTimeout,
+	}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection that can be reused, or nil. Connections that have expired
@@ -327,33 +337,39 @@
 
 // readResponse reads the header of the response. Interim (1xx) responses and complete responses to earlier requests are skipped.
 func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, Stage, error) {
+	cn.head.Begin(maxResponseHeader)
 	sentRequest := &http.Request{Method: r.Method}
 	for skipped := 0; ; {
 		if _, err := cn.reader.Peek(1); err != nil {
+			if exceeded, _ := cn.head.End(); exceeded {
+				return nil, InvalidResponse, &HeaderTooLongError{Limit: maxResponseHeader}
+			}
 			return nil, Sent, err
 		}
 		response, err := http.ReadResponse(cn.reader, sentRequest)
 		if err != nil {
+			if exceeded, _ := cn.head.End(); exceeded {
+				err = &HeaderTooLongError{Limit: maxResponseHeader}
+			}
 			return nil, InvalidResponse, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if c.options.IDHeader == "" || r.ID == "" {
-			return response, 0, nil
-		}
 		got := response.Header.Get(c.options.IDHeader)
-		if got == r.ID {
+		if c.options.IDHeader == "" || r.ID == "" || got == r.ID {
+			cn.head.End()
 			return response, 0, nil
 		}
 		skipped++
-		if skipped > maxStaleResponses || response.ContentLength < 0 {
-			response.Body.Close()
+		if skipped > maxStaleResponses || response.ContentLength < 0 || response.ContentLength > maxStaleBody {
 			return nil, InvalidResponse, &RequestIDMismatchError{Want: r.ID, Got: got}
 		}
+		cn.head.End()
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, InvalidResponse, err
 		}
+		cn.head.Begin(maxResponseHeader)
 		// The target may send further unexpected data on this connection, so it must not be reused.
 		cn.idleTimeout = 0
 	}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 )
 
 // serveConnections starts a listener that calls serve for each connection, and returns its address.
@@ -202,6 +203,38 @@
 		Expect(sendAndRead(c, r)).To(HavePrefix("9"))
 	})
 
+	DescribeTable("gives up a target that sends bytes without end at once, after a bounded number of bytes",
+		func(begin, repeated string, cause types.GomegaMatcher) {
+			sent := make(chan int, 1)
+			address := serveConnections(func(c net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r)
+				total, _ := io.WriteString(c, begin)
+				for chunk := strings.Repeat(repeated, 1+(16<<10)/len(repeated)); ; {
+					n, err := io.WriteString(c, chunk)
+					if total += n; err != nil {
+						sent <- total
+						return
+					}
+				}
+			})
+			began := time.Now()
+			_, err := sendAndRead(c, newRequest(address, "1"))
+			Expect(time.Since(began)).To(BeNumerically("<", time.Second), "not only at the deadline")
+			Expect(err).To(HaveField("Stage", InvalidResponse))
+			Expect(err.(*Error).Cause).To(cause)
+			// The rest fills the buffers of the two sockets.
+			Eventually(sent).Should(Receive(BeNumerically("<", 16<<20)))
+		},
+		Entry("status line", "HTTP/1.1 200 ", "x", BeAssignableToTypeOf(&HeaderTooLongError{})),
+		Entry("header field", "HTTP/1.1 200 OK\r\nA: ", "x", BeAssignableToTypeOf(&HeaderTooLongError{})),
+		Entry("header fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n", BeAssignableToTypeOf(&HeaderTooLongError{})),
+		Entry("bytes that are no response", "", "noise", BeAssignableToTypeOf(&HeaderTooLongError{})),
+		Entry("empty lines", "", "\r\n", MatchError(ContainSubstring("malformed"))),
+		Entry("interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", BeAssignableToTypeOf(&HeaderTooLongError{})),
+		Entry("response to another request", "HTTP/1.1 200 OK\r\nRequest-Id: 9\r\nContent-Length: 90000000000\r\n\r\n", "x", BeAssignableToTypeOf(&RequestIDMismatchError{})),
+		Entry("responses to other requests", "", "HTTP/1.1 200 OK\r\nRequest-Id: 9\r\nContent-Length: 1\r\n\r\nx", BeAssignableToTypeOf(&RequestIDMismatchError{})),
+	)
+
 	It("closes the connection when the context is cancelled, so that the target can stop", func() {
 		closed := make(chan struct{})
 		address := serveConnections(func(_ net.Conn, r *bufio.Reader) {
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -65,6 +65,14 @@
 	return fmt.Sprintf("response has the request ID %q, not %q", e.Got, e.Want)
 }
 
+// HeaderTooLongError reports a target that sent more than Limit bytes before the end of a response header.
+type HeaderTooLongError struct{ Limit int }
+
+// Error implements error.
+func (e *HeaderTooLongError) Error() string {
+	return fmt.Sprintf("response header is longer than %d bytes", e.Limit)
+}
+
 // BodyError reports a response body that ended before its length or could not be read to its end.
 type BodyError struct{ Cause error }
 
