--- a/pkg/grants/manager.go
+++ b/pkg/grants/manager.go
@@ -84,26 +84,6 @@
 	first   uint32
 }
 
-// grantRecord is what the leader knows about the grant of one key range.
-type grantRecord struct {
-	fence          uint64
-	callInProgress bool
-	// nextCallAt is when the next call is due, expiresAt when the grant has certainly expired at the target.
-	nextCallAt, expiresAt time.Duration
-	// unconfirmedUntil is the time until which a grant call without a response may still take effect. Targets may apply a grant
-	// seconds after its arrival, also after a release, but its validity counts from its arrival.
-	unconfirmedUntil time.Duration
-	// handover is what the previous owner returned at the release, for the next owner.
-	handover string
-	// released is set when the owner has released the keys.
-	released bool
-	// failing is set by a failed grant call until one succeeds.
-	failing      bool
-	failingSince time.Duration
-	// fenceUnused is set until a call with the current fence may have reached a process.
-	fenceUnused bool
-}
-
 // New returns a manager for a host that has just become the leader. The previous leader may have renewed every grant just
 // before, so each grant is assumed to be valid for its full time from now. clock returns the time since a fixed point.
 func New(state *registry.State, proposer Proposer, granter Granter, clock func() time.Duration) *Manager {
@@ -226,7 +206,9 @@
 	key := rangeID{service, r.GetFirst()}
 	record, ok := m.records[key]
 	if !ok {
-		record = &grantRecord{fence: r.GetFence(), expiresAt: now + maxGrantAge, unconfirmedUntil: now + maxGrantAge, nextCallAt: now}
+		inherited := inheritedRecord(r.GetFence(), now)
+		record = &inherited
+		record.nextCallAt = now
 		m.records[key] = record
 	}
 	if r.GetFence() < record.fence {
@@ -235,10 +217,9 @@
 	}
 	if r.GetFence() > record.fence {
 		// Another leader committed this fence and may have granted keys with it.
-		*record = grantRecord{
-			fence: r.GetFence(), expiresAt: now + maxGrantAge, unconfirmedUntil: now + maxGrantAge, nextCallAt: now,
-			callInProgress: record.callInProgress,
-		}
+		schedule := record.callSchedule
+		*record = inheritedRecord(r.GetFence(), now)
+		record.callInProgress, record.nextCallAt = schedule.callInProgress, now
 	}
 	if record.callInProgress || (dueOnly && now < record.nextCallAt) {
 		return nil
@@ -251,8 +232,7 @@
 func (m *Manager) endCall(record *grantRecord, pause time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	record.callInProgress = false
-	record.nextCallAt = m.clock() + pause
+	record.ended(m.clock(), pause)
 }
 
 // stepRange starts the call for a range if one is due.
@@ -284,7 +264,7 @@
 		return m.release(ctx, service, r, record, table, candidates, owner)
 	case !current:
 		// The process of a target that was marked as gone may keep running for a while, and holds its keys until the grant expires.
-		if now >= record.expiresAt {
+		if record.isExpired(now) {
 			return m.assign(ctx, service, r, table, candidates, "", "owner ended")
 		}
 		if owner != nil {
@@ -304,7 +284,7 @@
 }
 
 // renew grants a range to its owner for the first time or renews the grant. It assigns the range to another target if the owner
-// has not responded until its grant expired, or knows a higher fence.
+// has not responded until its grant expired, and raises the fence if the owner knows a higher one.
 func (m *Manager) renew(
 	ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord, table *schemav1.KeyTable, candidates []Candidate,
 	owner *schemav1.Registration,
@@ -312,26 +292,26 @@
 	if record.failing && m.clock()-record.failingSince >= renewRetryPeriod &&
 		Owner(table.GetRanges(), candidates, r.GetOwner(), nil) != nil {
 		// Each further call could extend the grant, and so delay the time at which the keys can move.
-		if m.clock() < record.expiresAt {
-			return min(retryInterval, record.expiresAt-m.clock())
+		if now := m.clock(); !record.isExpired(now) {
+			return min(retryInterval, record.expiresAt-now)
 		}
 		m.markUnresponsive(r.GetOwner())
 		return m.assign(ctx, service, r, table, candidates, r.GetOwner(), "owner unresponsive until its grant expired")
 	}
-	g := m.newGrant(owner, r)
-	g.Handover, g.Renewal = record.handover, !record.fenceUnused
 	callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	if !m.proposer.HoldsLeaderLease() {
 		return retryInterval
 	}
+	g := m.newGrant(owner, r)
+	g.Handover, g.Renewal = record.handover, record.beginGrant()
 	err := m.granter.Grant(callCtx, g)
 	if errors.Is(err, ErrConnectionClosed) {
-		return m.raiseFence(ctx, service, r, record)
+		return m.raiseFence(ctx, service, r, record, "connection closed")
 	}
-	record.fenceUnused = record.fenceUnused && err != nil && hadNoEffect(err)
+	now := m.clock()
 	if err == nil {
-		record.expiresAt, record.failing, record.handover = m.clock()+maxGrantAge, false, ""
+		record.grantConfirmed(now)
 		if r.GetState() != schemav1.RangeState_RANGE_STATE_GRANTING {
 			return renewInterval
 		}
@@ -341,35 +321,32 @@
 	klog.InfoS("grant failed", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "fence", r.GetFence(),
 		"target", r.GetOwner(), "err", err)
 	if isStaleFence(err) {
-		return m.assign(ctx, service, r, table, candidates, "", "target has a higher fence")
+		// The owner may hold the keys under an older fence, so they must not move at once.
+		return max(retryInterval, m.raiseFence(ctx, service, r, record, "target has a higher fence"))
 	}
 	if !hadNoEffect(err) {
-		// The call may have arrived, at the latest now, and may take effect later. The validity counts from its arrival.
-		record.unconfirmedUntil = m.clock() + maxGrantAge
-		record.expiresAt = max(record.expiresAt, record.unconfirmedUntil)
+		record.grantUnconfirmed(now)
 	}
-	if !record.failing {
-		record.failing, record.failingSince = true, m.clock()
-	} else {
+	if record.grantFailed(now) {
 		m.markUnresponsive(r.GetOwner())
 	}
 	return retryInterval
 }
 
 // raiseFence raises the fence of a range that stays with its owner. A grant that the owner has under the old fence stays valid.
-func (m *Manager) raiseFence(ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord) time.Duration {
+func (m *Manager) raiseFence(ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord, reason string) time.Duration {
 	change := &schemav1.RangeChange{Service: service, ExpectedFence: r.GetFence(), Range: &schemav1.KeyRange{
 		First: r.GetFirst(), Last: r.GetLast(), Owner: r.GetOwner(), OwnerStartedUnixMs: r.GetOwnerStartedUnixMs(), State: r.GetState(),
 	}}
 	result, err := m.proposer.Propose(ctx, &schemav1.RegistryCommand{Range: change})
-	klog.V(1).InfoS("fence raised for a new connection", "service", service, "first", r.GetFirst(), "target", r.GetOwner(),
-		"fence", result.GetFence(), "applied", result.GetApplied(), "err", err)
+	klog.V(1).InfoS("fence raised", "service", service, "first", r.GetFirst(), "target", r.GetOwner(),
+		"fence", result.GetFence(), "applied", result.GetApplied(), "reason", reason, "err", err)
 	if err != nil || !result.GetApplied() {
 		return retryInterval
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	record.fence, record.fenceUnused = result.GetFence(), true
+	record.fenceRaised(result.GetFence())
 	return 0
 }
 
@@ -386,20 +363,13 @@
 	ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord, table *schemav1.KeyTable, candidates []Candidate,
 	owner *schemav1.Registration,
 ) time.Duration {
-	if m.clock() >= record.expiresAt {
-		return m.assign(ctx, service, r, table, candidates, r.GetOwner(), "grant expired")
+	if now := m.clock(); record.isExpired(now) {
+		return m.assign(ctx, service, r, table, candidates, r.GetOwner(), "grant "+record.phase.String()+" and expired")
 	}
 	if next := Owner(table.GetRanges(), candidates, r.GetOwner(), nil); next == nil {
 		return retryInterval
 	}
-	if record.released {
-		if wait := record.unconfirmedUntil - m.clock(); wait > 0 {
-			return min(wait, retryInterval)
-		}
-		return m.assign(ctx, service, r, table, candidates, r.GetOwner(), "released")
-	}
-	if record.fenceUnused {
-		// If the owner holds the keys, it does so under an older fence, so a release with this fence might not release them.
+	if !record.canRelease() {
 		return min(retryInterval, record.expiresAt-m.clock())
 	}
 	callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, record.expiresAt-m.clock()))
@@ -410,11 +380,10 @@
 			"target", r.GetOwner(), "err", err)
 		return retryInterval
 	}
-	m.mu.Lock()
-	record.handover, record.released = handover, true
-	m.mu.Unlock()
-	if record.unconfirmedUntil > m.clock() {
-		return retryInterval
+	now := m.clock()
+	record.ownerReleased(now, handover)
+	if !record.isExpired(now) {
+		return min(retryInterval, record.expiresAt-now)
 	}
 	return m.assign(ctx, service, r, table, candidates, r.GetOwner(), "released")
 }
@@ -446,9 +415,7 @@
 	if result.GetApplied() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		record := m.records[key]
-		record.fence, record.fenceUnused, record.failing, record.released, record.unconfirmedUntil, record.expiresAt =
-			result.GetFence(), true, false, false, 0, m.clock()
+		m.records[key].assigned(result.GetFence(), m.clock())
 	}
 	return 0
 }
--- a/pkg/grants/manager_test.go
+++ b/pkg/grants/manager_test.go
@@ -36,6 +36,8 @@
 	connectedProcess, firstProcess map[uint64]int
 	// violations describes keys that two targets held at the same time and fences that two processes received.
 	violations []string
+	// highestFence is the highest fence that a target has seen; it refuses grants with lower ones.
+	highestFence map[string]uint64
 	// released is the number of releases.
 	released int
 	manager  *Manager
@@ -129,6 +131,9 @@
 	if h.unreachable[g.Target] {
 		return &upstream.Error{Stage: upstream.NotSent, Cause: context.DeadlineExceeded}
 	}
+	if g.Fence < h.highestFence[g.Target] {
+		return &StaleFenceError{Target: g.Target}
+	}
 	connection, process := g.Fence<<32+uint64(g.First), h.process[g.Target]
 	if connectedProcess, ok := h.connectedProcess[connection]; g.Renewal && (!ok || connectedProcess != process) {
 		return ErrConnectionClosed
@@ -255,6 +260,42 @@
 		Expect(h.activeRanges("t1") + h.activeRanges("t2")).To(Equal(3 * initialRangesPerOwner))
 	})
 
+	It("asks an owner for a release again when it was granted the keys anew after an earlier release (two evacuations, dmau-gateway scale-2)", func() {
+		targets := owners(3)
+		for _, t := range targets {
+			t.DataCentre = t.GetId()
+		}
+		h := newHarness(targets)
+		h.run(5 * time.Second)
+		evacuate := func(out bool) {
+			h.mustApply(&schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{DataCentre: "t0", Out: out}})
+		}
+		// A new leader must wait after the release, because it does not know which calls of the earlier one may still take effect.
+		h.manager = New(h.state, h, h, h.clock)
+		evacuate(true)
+		h.run(time.Second)
+		Expect(h.released).To(BeNumerically(">", 0))
+		evacuate(false)
+		h.mu.Lock()
+		h.connectedProcess = map[uint64]int{}
+		h.mu.Unlock()
+		h.run(4 * time.Second)
+		Expect(h.activeRanges("t0")).To(BeNumerically(">", 0))
+		evacuate(true)
+		h.run(5 * time.Second)
+		Expect(h.activeRanges("t0")).To(BeZero())
+	})
+
+	It("raises the fence of an owner that has seen a higher one, and does not move its keys before its grant has expired", func() {
+		h := newHarness(owners(2))
+		h.run(5 * time.Second)
+		h.mu.Lock()
+		h.highestFence = map[string]uint64{"t1": h.state.Keys("files").GetRanges()[0].GetFence() + 20}
+		h.mu.Unlock()
+		h.run(5 * time.Second)
+		Expect(h.activeRanges("t1")).To(Equal(initialRangesPerOwner))
+	})
+
 	It("raises the fences of the keys of a target that restarted", func() {
 		targets := owners(2)
 		h := newHarness(targets)
--- a/pkg/grants/rebalance.go
+++ b/pkg/grants/rebalance.go
@@ -56,7 +56,7 @@
 		return true
 	}
 	defer m.endCall(record, 0)
-	if record.unconfirmedUntil > m.clock() {
+	if record.isUnconfirmed(m.clock()) {
 		// An earlier grant of the range may still take effect, so it must not move or be split yet.
 		return true
 	}
@@ -69,7 +69,7 @@
 	result, err := m.proposer.Propose(ctx, &schemav1.RegistryCommand{Split: split})
 	klog.InfoS("key range split for its load", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "parts", len(action.Starts)+1,
 		"owner", r.GetOwner(), "applied", result.GetApplied(), "err", err)
-	if err == nil {
+	if err == nil && result.GetApplied() {
 		m.addSplitRecords(service, record, action.Starts)
 	}
 	return true
@@ -98,12 +98,14 @@
 	return &RangeAction{Range: r}
 }
 
-// addSplitRecords adds records for the parts of a split range after the first one. They have the fence and expiry of its record.
+// addSplitRecords adds records for the parts of a split range after the first one. What the owner may hold of them is the same.
 func (m *Manager) addSplitRecords(service string, record *grantRecord, starts []uint32) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, start := range starts {
-		m.records[rangeID{service, start}] = &grantRecord{fence: record.fence, expiresAt: record.expiresAt, nextCallAt: m.clock()}
+		part := *record
+		part.callSchedule = callSchedule{nextCallAt: m.clock()}
+		m.records[rangeID{service, start}] = &part
 	}
 }
 
@@ -113,7 +115,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if record := m.records[rangeID{service, r.GetFirst()}]; record != nil {
-		record.nextCallAt = m.clock()
+		record.makeDue(m.clock())
 	}
 }
 
