--- a/pkg/host/control.go
+++ b/pkg/host/control.go
@@ -75,7 +75,7 @@
 		Address:        c.host.addresses.rpc,
 		Group:          controlGroup,
 		InitialMembers: initial,
-		Storage:        member.Storage{Log: c.log},
+		Storage:        member.NewStorage(ctx, c.log, nil),
 		Transport:      c.host.transport,
 		StateMachine:   c.state,
 	})
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -38,6 +38,8 @@
 	Targets            = "targets"
 	DiscardedAnswers   = "discarded_answers_total"
 	TargetConnections  = "target_connections"
+	DiskFull           = "disk_full"
+	Panics             = "panics_total"
 )
 
 // Tag names.
--- /dev/null
+++ b/pkg/registrar/freshness_test.go
@@ -0,0 +1,35 @@
+package registrar
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"almondrock.example/almondrock/pkg/replication"
+)
+
+var _ = Describe("freshness", func() {
+	current := replication.Status{LeaderID: 1, AppliedIndex: 7, LeaderCommitIndex: 7}
+	lagging := replication.Status{LeaderID: 1, AppliedIndex: 6, LeaderCommitIndex: 7}
+
+	It("does not count a host that lags from its start on as up to date", func() {
+		f := &freshness{}
+		Expect(f.isUpToDate(time.Millisecond, lagging)).To(BeFalse())
+	})
+
+	It("counts a host that begins to lag as up to date for maxLag only, whatever the time of day does (clock_step)", func() {
+		f := &freshness{}
+		Expect(f.isUpToDate(time.Second, current)).To(BeTrue())
+		Expect(f.isUpToDate(time.Second+maxLag-1, lagging)).To(BeTrue())
+		Expect(f.isUpToDate(time.Second+maxLag, lagging)).To(BeFalse())
+	})
+
+	It("does not count a host without a leader, or with a member that waits for its disk, as up to date (disk_stall, disk_full)", func() {
+		f := &freshness{}
+		Expect(f.isUpToDate(time.Second, replication.Status{AppliedIndex: 7, LeaderCommitIndex: 7})).To(BeFalse())
+		stalled := current
+		stalled.Age = maxStatusAge + 1
+		Expect(f.isUpToDate(time.Second, stalled)).To(BeFalse())
+	})
+})
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -99,13 +99,13 @@
 	failed  chan error
 	// recordingSelf is set while this host records its own addresses in the registry.
 	recordingSelf atomic.Bool
-	// upToDateAt is when this host last had applied everything that it knew to be committed, in Unix nanoseconds.
-	upToDateAt atomic.Int64
+	freshness     freshness
 }
 
-// New opens the data directory and determines the identity of this host. Start must be called for it to serve.
-func New(options Options) (*Registrar, error) {
-	log, err := wal.Open(filepath.Join(options.DataDir, "registry"), wal.Options{})
+// New opens the data directory and determines the identity of this host. Start must be called for it to serve. While the disk is full,
+// New waits for room until ctx ends.
+func New(ctx context.Context, options Options) (*Registrar, error) {
+	log, err := member.Open(ctx, filepath.Join(options.DataDir, "registry"), wal.Options{})
 	if err != nil {
 		return nil, err
 	}
@@ -208,6 +208,15 @@
 	}
 }
 
+// recordDiskFull records in the metrics whether the disk is full.
+func (r *Registrar) recordDiskFull(full bool) {
+	value := 0.0
+	if full {
+		value = 1
+	}
+	r.metrics.Scope.Gauge(metrics.DiskFull).Update(value)
+}
+
 // currentReplica returns the replica of this host, or nil before it has joined the group.
 func (r *Registrar) currentReplica() *replication.Replica {
 	r.mu.Lock()
@@ -229,7 +238,7 @@
 	}
 	replica, err := replication.New(replication.Options{
 		ID: r.id, Address: r.options.PeerAddress, Group: groupName, InitialMembers: initial,
-		Storage: member.Storage{Log: r.log}, Transport: member.NewTransport(r.ctx, r.client, &r.tasks),
+		Storage: member.NewStorage(r.ctx, r.log, r.recordDiskFull), Transport: member.NewTransport(r.ctx, r.client, &r.tasks),
 		StateMachine: r.state, Clock: clockwork.NewRealClock(), Tick: tickInterval,
 		Raft: raft.Config{
 			ElectionMinTicks: electionMinTicks, ElectionMaxTicks: electionMaxTicks, HeartbeatTicks: heartbeatTicks,
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -34,8 +34,6 @@
 	watchTimeout = 400 * time.Millisecond
 	// watcherTimeout is how long after its last watch call an entry host stays in the registry.
 	watcherTimeout = 8 * time.Second
-	// maxLag is how long this host may lack committed entries and still count as up to date. It is a few round trips between regions.
-	maxLag = 200 * time.Millisecond
 	// maxAnnouncements is the number of targets whose last announcement is remembered. Beyond it, all are forgotten.
 	maxAnnouncements = 16384
 	// proposalTimeout is the timeout of a proposal or read with its retries. Callers use another host after a second.
@@ -180,15 +178,9 @@
 	return update, nil
 }
 
-// isUpToDate reports whether this host knows a leader and has applied, at some time in the last maxLag, all entries that the leader
-// had reported as committed. Knowing a leader is not enough: a host that was down has a leader again long before it has caught up.
+// isUpToDate reports whether the state of this host is that of the group.
 func (r *Registrar) isUpToDate(status replication.Status) bool {
-	now := time.Now().UnixNano()
-	if status.LeaderID != 0 && status.AppliedIndex >= status.LeaderCommitIndex {
-		r.upToDateAt.Store(now)
-		return true
-	}
-	return status.LeaderID != 0 && time.Duration(now-r.upToDateAt.Load()) < maxLag
+	return r.freshness.isUpToDate(time.Since(r.started), status)
 }
 
 // addEntryHost starts to add an entry host to the registry, or to update it, if needed.
--- a/pkg/replication/replica.go
+++ b/pkg/replication/replica.go
@@ -33,6 +33,8 @@
 	leaseEnd atomic.Int64
 	mutex    sync.Mutex
 	status   Status
+	// publishedAt is the time of the last update of status, since startTime.
+	publishedAt time.Duration
 	// membersRefreshedAt is the tick of the last refresh of status.Members.
 	membersRefreshedAt uint64
 }
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -35,6 +35,8 @@
 	LastIndex         uint64
 	LastTerm          uint64
 	LastSnapshotIndex uint64
+	// Age is the time since this member last completed a cycle. It grows while the member waits for its disk.
+	Age time.Duration
 	// Members is refreshed every raft.DefaultHeartbeatTicks ticks and when the leader, the term or the number of members
 	// changes.
 	Members []MemberStatus
@@ -44,13 +46,16 @@
 func (r *Replica) Status() Status {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.status
+	status := r.status
+	status.Age = max(0, r.driver.options.Clock.Since(r.startTime)-r.publishedAt)
+	return status
 }
 
 func (r *Replica) publishStatus() {
 	s := r.driver.node.Status()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.publishedAt = r.driver.options.Clock.Since(r.startTime)
 	members := r.status.Members
 	if s.Now >= r.membersRefreshedAt+raft.DefaultHeartbeatTicks || s.Term != r.status.Term || s.LeaderID != r.status.LeaderID ||
 		len(s.Members) != len(members) {
--- a/pkg/wal/errors.go
+++ b/pkg/wal/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"syscall"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -40,6 +41,33 @@
 // Unwrap returns the cause, for example syscall.ENOSPC.
 func (e *IOError) Unwrap() error { return e.Cause }
 
+// NoSpaceError reports that the disk is full. The log is unchanged and usable; the same call can be made again later.
+type NoSpaceError struct {
+	File  string
+	Cause error
+}
+
+func (e *NoSpaceError) Error() string { return fmt.Sprintf("no space for %s: %v", e.File, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NoSpaceError) Unwrap() error { return e.Cause }
+
+// asNoSpaceError returns err as a *NoSpaceError if a write failed because the disk is full, else nil. A failed sync is no such case,
+// because it leaves open what was written.
+func asNoSpaceError(err error) error {
+	var failed *IOError
+	if errors.As(err, &failed) && (failed.Op == opCreate || failed.Op == opWrite) && errors.Is(failed.Cause, syscall.ENOSPC) {
+		return wrap(&NoSpaceError{File: failed.File, Cause: failed.Cause})
+	}
+	return nil
+}
+
+// Operations of IOError that change no complete file when they fail.
+const (
+	opCreate = "create"
+	opWrite  = "write"
+)
+
 // LockedError reports that another process has the directory open.
 type LockedError struct {
 	Dir string
--- a/pkg/wal/fs.go
+++ b/pkg/wal/fs.go
@@ -30,6 +30,8 @@
 	io.WriteCloser
 	// Sync makes all written data durable.
 	Sync() error
+	// Truncate shortens the file to size bytes.
+	Truncate(size int64) error
 }
 
 // dirFS implements FS on a directory of the operating system.
@@ -131,10 +133,16 @@
 	temporary := name + temporarySuffix
 	file, err := fs.Create(temporary)
 	if err != nil {
-		return nil, wrap(&IOError{Op: "create", File: temporary, Cause: err})
+		return nil, wrap(&IOError{Op: opCreate, File: temporary, Cause: err})
 	}
 	if err := writeAndRename(fs, file, name, content); err != nil {
 		file.Close()
+		if noSpace := asNoSpaceError(err); noSpace != nil {
+			// Its part of the space is needed by the next attempt. Otherwise the file is removed when the log is opened.
+			if removeErr := fs.Remove(temporary); removeErr != nil {
+				return nil, wrap(&IOError{Op: "remove", File: temporary, Cause: removeErr})
+			}
+		}
 		return nil, err
 	}
 	return file, nil
@@ -145,7 +153,7 @@
 	temporary := name + temporarySuffix
 	// The wrapper hides ReadFrom, so that io.Copy passes every byte to Write.
 	if _, err := io.Copy(struct{ io.Writer }{file}, content); err != nil {
-		return wrap(&IOError{Op: "write", File: temporary, Cause: err})
+		return wrap(&IOError{Op: opWrite, File: temporary, Cause: err})
 	}
 	if err := file.Sync(); err != nil {
 		return wrap(&IOError{Op: "sync", File: temporary, Cause: err})
@@ -178,7 +186,7 @@
 		err = io.ErrShortWrite
 	}
 	if err != nil {
-		return wrap(&IOError{Op: "write", File: name, Cause: err})
+		return wrap(&IOError{Op: opWrite, File: name, Cause: err})
 	}
 	if err := file.Sync(); err != nil {
 		return wrap(&IOError{Op: "sync", File: name, Cause: err})
--- a/pkg/wal/log.go
+++ b/pkg/wal/log.go
@@ -44,7 +44,7 @@
 }
 
 // Open locks the directory at path, which it creates if needed, and recovers the log in it. Errors: *LockedError,
-// *CorruptError, *VersionError, *IOError.
+// *CorruptError, *VersionError, *NoSpaceError, *IOError.
 func Open(path string, options Options) (*Log, error) {
 	fs := options.FS
 	if fs == nil {
@@ -66,6 +66,9 @@
 			log.active.Close()
 		}
 		lock.Close()
+		if noSpace := asNoSpaceError(err); noSpace != nil {
+			return nil, noSpace
+		}
 		return nil, err
 	}
 	return log, nil
@@ -84,7 +87,7 @@
 		return err
 	}
 	if len(r.segments) == 0 {
-		if err := l.startSegment(newBatch(1), nil, 1); err != nil {
+		if err := l.startSegment(newBatch(1), nil, 1, nil); err != nil {
 			return err
 		}
 		l.recoveredState = &PersistentState{}
@@ -122,8 +125,8 @@
 // Save stores its arguments, each of which may be nil, and returns when they are durable. It stores all of them or none.
 // Entries replace stored entries from their first index on. Entries that the snapshot covers are not stored. If the log
 // has no entry with the index and term of the snapshot, the snapshot replaces all stored entries, as for a follower that
-// installs a leader's snapshot; the given entries must then start directly after the snapshot. Errors: *SequenceError
-// and *EncodeError leave the log usable and unchanged; *IOError is returned by this and all later calls.
+// installs a leader's snapshot; the given entries must then start directly after the snapshot. Errors: *SequenceError,
+// *EncodeError and *NoSpaceError leave the log usable and unchanged; *IOError is returned by this and all later calls.
 func (l *Log) Save(hardState *schemav1.HardState, entries []*schemav1.Entry, snapshot *schemav1.Snapshot) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -226,7 +229,15 @@
 	data := batch.finish()
 	current := &l.segments[len(l.segments)-1]
 	if err := appendAndSync(l.active, segmentName(current.sequence), data); err != nil {
-		return l.setFailure(err)
+		noSpace := asNoSpaceError(err)
+		if noSpace == nil {
+			return l.setFailure(err)
+		}
+		// The next batch must not follow the part that was written.
+		if err := l.active.Truncate(l.activeSize); err != nil {
+			return l.setFailure(wrap(&IOError{Op: "truncate", File: segmentName(current.sequence), Cause: err}))
+		}
+		return noSpace
 	}
 	l.batch++
 	l.activeSize += int64(len(data))
@@ -253,17 +264,15 @@
 			return err
 		}
 		if err := writeSnapshot(l.fs, position, encoded); err != nil {
-			return l.setFailure(err)
+			return l.failUnlessNoSpace(err)
 		}
 	}
-	kept := l.keptSegments(position)
-	sequence := l.segments[len(l.segments)-1].sequence + 1
-	if err := l.active.Close(); err != nil {
-		return l.setFailure(wrap(&IOError{Op: "close", File: segmentName(sequence - 1), Cause: err}))
+	previous, sequence := l.active, l.segments[len(l.segments)-1].sequence+1
+	if err := l.startSegment(batch, entries, sequence, l.keptSegments(position)); err != nil {
+		return l.failUnlessNoSpace(err)
 	}
-	l.segments = kept
-	if err := l.startSegment(batch, entries, sequence); err != nil {
-		return l.setFailure(err)
+	if err := previous.Close(); err != nil {
+		return l.setFailure(wrap(&IOError{Op: "close", File: segmentName(sequence - 1), Cause: err}))
 	}
 	l.snapshotPosition = snapshotPosition{index: position.index, term: position.term}
 	if err := removeObsoleteFiles(l.fs, l.segments[0].sequence, l.snapshotPosition); err != nil {
@@ -284,27 +293,37 @@
 	return append([]segment(nil), kept...)
 }
 
-// startSegment creates a segment that contains batch, which may be empty, and makes it the active one.
-func (l *Log) startSegment(batch *batchBuilder, entries []*schemav1.Entry, sequence uint64) error {
+// failUnlessNoSpace makes the log unusable unless err means that the disk is full, and returns the error for the caller.
+func (l *Log) failUnlessNoSpace(err error) error {
+	if noSpace := asNoSpaceError(err); noSpace != nil {
+		return noSpace
+	}
+	return l.setFailure(err)
+}
+
+// startSegment creates a segment that contains batch, which may be empty, and makes it the active one after those in kept.
+func (l *Log) startSegment(batch *batchBuilder, entries []*schemav1.Entry, sequence uint64, kept []segment) error {
 	data := batch.finish()
 	size := firstRecordSize + int64(len(data))
 	header := segmentHeader{version: formatVersion, sequence: sequence, oldestNeeded: sequence, syncedSize: uint64(size)}
-	if len(l.segments) > 0 {
-		header.oldestNeeded = l.segments[0].sequence
+	if len(kept) > 0 {
+		header.oldestNeeded = kept[0].sequence
 	}
 	first, err := header.encode(l.batch)
 	if err != nil {
 		return err
 	}
 	content := io.MultiReader(bytes.NewReader(first), bytes.NewReader(data))
-	if l.active, err = createFileAtomically(l.fs, segmentName(sequence), content); err != nil {
+	active, err := createFileAtomically(l.fs, segmentName(sequence), content)
+	if err != nil {
 		return err
 	}
+	l.active = active
 	if len(data) > 0 {
 		l.batch++
 	}
 	l.activeSize = size
-	l.segments = append(l.segments, segment{sequence: sequence, maxIndex: lastIndex(entries)})
+	l.segments = append(kept, segment{sequence: sequence, maxIndex: lastIndex(entries)})
 	return nil
 }
 
@@ -327,7 +346,7 @@
 		identity = randomIdentity()
 	}
 	if err := writeFileAtomically(l.fs, identityFile, bytes.NewReader([]byte(encodeIdentity(identity)))); err != nil {
-		return 0, l.setFailure(err)
+		return 0, l.failUnlessNoSpace(err)
 	}
 	return identity, nil
 }
--- a/pkg/wal/memfs_test.go
+++ b/pkg/wal/memfs_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"slices"
 	"syscall"
 
 	"almondrock.example/almondrock/pkg/wal"
@@ -171,6 +172,10 @@
 	return len(data), nil
 }
 
+func (f *memFile) Truncate(size int64) error {
+	return f.fs.execute(func() { f.node.data = f.node.data[:size] }, nil)
+}
+
 func (f *memFile) Sync() error {
 	if f.fs.shouldFail("sync") {
 		for i := range f.node.data {
@@ -239,6 +244,31 @@
 	return next
 }
 
+// copy returns a copy of the directory with all that is and is not durable.
+func (m *memFS) copy() *memFS {
+	nodes := map[*inode]*inode{}
+	clone := func(n *inode) *inode {
+		if n == nil {
+			return nil
+		}
+		if nodes[n] == nil {
+			nodes[n] = &inode{data: bytes.Clone(n.data), durable: bytes.Clone(n.durable), lost: slices.Clone(n.lost)}
+		}
+		return nodes[n]
+	}
+	next := newMemFS()
+	for name, n := range m.files {
+		next.files[name] = clone(n)
+	}
+	for name, n := range m.durableFiles {
+		next.durableFiles[name] = clone(n)
+	}
+	for _, op := range m.pending {
+		next.pending = append(next.pending, dirOp{remove: op.remove, create: op.create, node: clone(op.node)})
+	}
+	return next
+}
+
 // restart returns the directory as a new process finds it when the machine has not crashed.
 func (m *memFS) restart() *memFS {
 	return &memFS{files: m.files, durableFiles: m.durableFiles, pending: m.pending}
