--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -100,7 +100,7 @@
 
 // peerReport is the last load report of another entry host.
 type peerReport struct {
-	// start identifies the process of the peer, sequence the report within it.
+	// start identifies the process of the peer, by a random number, and sequence the report within it.
 	start, sequence uint64
 	receivedAt      time.Duration
 	// inFlight is the number of requests that the peer has in flight, by target.
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
 const (
@@ -65,6 +67,21 @@
 		Expect(reason).To(Equal(ReasonNoTarget))
 	})
 
+	It("ignores a delayed report of an earlier process of a peer, whatever the time of day at its start", func() {
+		d := New(Options{DataCentre: "n", Region: "east"})
+		d.SetTargets(0, []Target{{ID: "t", StartedUnixMs: 1, Service: "desk", DataCentre: "n", Region: "east", Slots: 2}})
+		report := func(start, sequence uint64, inFlight uint32) *schemav1.LoadReport {
+			return &schemav1.LoadReport{Entry: "e", Start: start, Sequence: sequence, Targets: []uint32{TargetHash("t")}, InFlight: []uint32{inFlight}}
+		}
+		d.ApplyPeerReport(0, report(9, 50, 4))
+		d.ApplyPeerReport(time.Second, report(5, 1, 1))
+		Expect(d.targets["t"].peerInFlight).To(Equal(1), "a new process counts, also with a lower number")
+		d.ApplyPeerReport(time.Second+10*time.Millisecond, report(9, 51, 4))
+		Expect(d.targets["t"].peerInFlight).To(Equal(1))
+		d.ApplyPeerReport(time.Second+20*time.Millisecond, report(5, 2, 2))
+		Expect(d.targets["t"].peerInFlight).To(Equal(2))
+	})
+
 	It("counts what peers have in flight, and forgets it when their reports expire", func() {
 		a, b := newDispatcher("n"), newDispatcher("s")
 		targets := []Target{newTarget("t", "n", "east")}
--- a/pkg/dispatch/peers.go
+++ b/pkg/dispatch/peers.go
@@ -9,6 +9,10 @@
 // peerReportLifetime is how long the report of a peer is used. Peers repeat their reports while they have requests in flight.
 const peerReportLifetime = time.Second
 
+// peerRestartTime is the least time that a host takes to stop and start again. A report with another start that arrives sooner after
+// one of the current process was delayed on its way.
+const peerRestartTime = 250 * time.Millisecond
+
 // InFlightReport returns the number of requests that this host has in flight at each target, and whether it may have changed since
 // the last call.
 func (d *Dispatcher) InFlightReport() (*schemav1.LoadReport, bool) {
@@ -26,7 +30,8 @@
 	return report, changed
 }
 
-// ApplyPeerReport replaces what is known of a peer by its report. Outdated and duplicate reports are ignored.
+// ApplyPeerReport replaces what is known of a peer by its report. Outdated and duplicate reports, and delayed ones of an earlier process,
+// are ignored.
 func (d *Dispatcher) ApplyPeerReport(now time.Duration, report *schemav1.LoadReport) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -34,6 +39,9 @@
 	if ok && p.start == report.GetStart() && p.sequence >= report.GetSequence() {
 		return
 	}
+	if ok && p.start != report.GetStart() && now-p.receivedAt < peerRestartTime {
+		return
+	}
 	d.removePeer(report.GetEntry())
 	p = &peerReport{start: report.GetStart(), sequence: report.GetSequence(), receivedAt: now, inFlight: map[*target]int{}}
 	d.peerInFlight[report.GetEntry()] = p
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -62,6 +62,8 @@
 	errorResponse *response
 	// target is the ID of the last target.
 	target string
+	// openChoice is the choice of the attempt in progress, or nil.
+	openChoice *dispatch.Choice
 	// viewVersion is the version of the view that the last choice was based on, and lastChoice that choice; both are logged.
 	viewVersion uint64
 	lastChoice  dispatch.Choice
@@ -77,6 +79,10 @@
 		for _, cancel := range x.streamCancels {
 			cancel()
 		}
+		if x.openChoice != nil {
+			// The attempt panicked, or its response was aborted. Its slot must not stay taken.
+			x.finishAttempt(x.openChoice, dispatch.Result{Outcome: dispatch.OutcomeCancelled})
+		}
 	}()
 	for {
 		choice, reason := x.chooseTarget(ctx)
@@ -89,6 +95,7 @@
 		if choice == nil {
 			return x.endWithoutTarget(reason)
 		}
+		x.openChoice = choice
 		result, retry := x.attempt(ctx, choice)
 		if !retry {
 			return result
@@ -96,8 +103,16 @@
 	}
 }
 
-// finishAttempt reports the result of an attempt to the dispatcher, the key loads and the metrics.
+// finishAttempt ends an attempt.
 func (x *exchange) finishAttempt(choice *dispatch.Choice, result dispatch.Result) {
+	if choice == x.openChoice {
+		x.openChoice = nil
+	}
+	x.recordResult(choice, result)
+}
+
+// recordResult reports the result of an attempt to the dispatcher, the key loads and the metrics. It may be called by any goroutine.
+func (x *exchange) recordResult(choice *dispatch.Choice, result dispatch.Result) {
 	now := x.host.now()
 	x.host.dispatcher.Finish(now, choice, result)
 	if x.exclusive && (result.Outcome == dispatch.OutcomeAnswered || result.Outcome == dispatch.OutcomeTimedOut) {
@@ -190,6 +205,7 @@
 func (x *exchange) attempt(ctx context.Context, choice *dispatch.Choice) (result string, retry bool) {
 	attempted := x.sendHedged(ctx, choice)
 	choice = attempted.choice
+	x.openChoice = choice
 	x.target, x.lastChoice = choice.ID, *choice
 	if attempted.response == nil {
 		return x.handleSendFailure(ctx, attempted)
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondrock.example/almondrock/pkg/dispatch"
+	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/upstream"
 )
 
@@ -48,14 +49,16 @@
 func (x *exchange) send(ctx context.Context, choice *dispatch.Choice, request *upstream.Request) *attemptResult {
 	sentAt := x.host.now()
 	result := &attemptResult{choice: choice}
-	raw, err := x.host.upstream.Send(ctx, request)
-	if err != nil {
-		result.err = err
-	} else {
-		result.response = &response{raw: raw}
-		if result.err = result.response.read(x.host.options.Protocol, x.host.pacer.maxBuffered); result.err != nil {
-			raw.Abort()
+	result.err = guard.Run("attempt", func() error {
+		raw, err := x.host.upstream.Send(ctx, request)
+		if err != nil {
+			return err
 		}
+		result.response = &response{raw: raw}
+		return result.response.read(x.host.options.Protocol, x.host.pacer.maxBuffered)
+	})
+	if result.err != nil && result.response != nil {
+		result.response.raw.Abort()
 	}
 	result.latency = x.host.now() - sentAt
 	return result
@@ -108,7 +111,7 @@
 		if loser.response != nil {
 			loser.response.raw.Abort()
 		}
-		x.finishAttempt(loser.choice, dispatch.Result{Outcome: dispatch.OutcomeHedgeLost, Latency: loser.latency})
+		x.recordResult(loser.choice, dispatch.Result{Outcome: dispatch.OutcomeHedgeLost, Latency: loser.latency})
 	}()
 	return result
 }
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/dispatch"
+	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/httpserver"
 	"almondrock.example/almondrock/pkg/routes"
 	"almondrock.example/almondrock/pkg/rpc"
@@ -159,10 +160,12 @@
 			}
 		})
 	}
-	h.tasks.Go(func() { h.followRegistry(h.ctx) })
-	h.tasks.Go(func() { h.sendLoadReports(h.ctx) })
-	h.tasks.Go(func() { h.receiveLoadReports(h.ctx) })
-	h.tasks.Go(func() { h.closeIdleConnections(h.ctx) })
+	for task, run := range map[string]func(context.Context){
+		"follow registry": h.followRegistry, "send load reports": h.sendLoadReports, "receive load reports": h.receiveLoadReports,
+		"close idle connections": h.closeIdleConnections,
+	} {
+		h.tasks.Go(func() { guard.Loop(h.ctx, task, func() { run(h.ctx) }) })
+	}
 	return nil
 }
 
--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -225,6 +225,29 @@
 		Expect(body).NotTo(ContainSubstring("forged"))
 	})
 
+	It("keeps serving after a panic in a request, without losing the slot, and in a background task", func() {
+		h := startHost()
+		t := startTarget("t", "desk")
+		applyView(h, 1, nil, t)
+		failing := atomic.Bool{}
+		failing.Store(true)
+		h.options.Protocol.ParseLoad = func(string) (dispatch.TargetLoad, bool) {
+			if failing.Load() {
+				panic("unexpected load report")
+			}
+			return dispatch.TargetLoad{}, false
+		}
+		for range 10 {
+			status, _, _ := sendRequest(h, "/safe/")
+			Expect(status).To(Equal(http.StatusInternalServerError))
+		}
+		failing.Store(false)
+		status, _, _ := sendRequest(h, "/safe/")
+		Expect(status).To(Equal(http.StatusOK), "a target with two slots takes further requests")
+		report, _ := h.dispatcher.InFlightReport()
+		Expect(report.GetTargets()).To(BeEmpty())
+	})
+
 	It("waits for a key that is moving to its next owner", func() {
 		h := startHost()
 		t := startTarget("t", "files")
--- a/pkg/entry/load_report.go
+++ b/pkg/entry/load_report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -51,7 +52,7 @@
 
 // sendLoadReports sends the requests in flight to the peers whenever they have changed, until ctx ends.
 func (h *Host) sendLoadReports(ctx context.Context) {
-	start, sequence := uint64(time.Now().UnixNano()), uint64(0)
+	start, sequence := rand.Uint64(), uint64(0)
 	lastSent := time.Duration(0)
 	lastReportEmpty := false
 	for {
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -17,8 +17,12 @@
 var (
 	ErrUnsigned        = merry.Sentinel("successful response without the signature of a target")
 	ErrContentEncoding = merry.Sentinel("response body has a content encoding that was not requested")
+	ErrErrorTooLong    = merry.Sentinel("body of an error response is too long")
 )
 
+// maxErrorBody is the size in bytes of the longest error response that is passed on. A longer one comes from a target in trouble.
+const maxErrorBody = 1 << 20
+
 // hopByHopHeaders are the header fields that apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
@@ -62,6 +66,9 @@
 			return merry.Wrap(ErrContentEncoding)
 		}
 	}
+	if resp.isError() && resp.raw.ContentLength > maxErrorBody {
+		return merry.Wrap(ErrErrorTooLong)
+	}
 	var err error
 	if resp.body, resp.complete, err = resp.raw.ReadAll(maxBuffered); err != nil {
 		return err
@@ -123,7 +130,30 @@
 	if _, err := x.w.Write(resp.body); err != nil {
 		return err
 	}
-	return x.host.pacer.copy(x.r.Context(), x.w, resp.raw.Body)
+	rest := io.Reader(resp.raw.Body)
+	if resp.isError() {
+		rest = &limitedBody{source: rest, remaining: maxErrorBody}
+	}
+	return x.host.pacer.copy(x.r.Context(), x.w, rest)
+}
+
+// isError reports whether the response is an error of the target.
+func (resp *response) isError() bool { return resp.raw.StatusCode >= http.StatusInternalServerError }
+
+// limitedBody fails with ErrErrorTooLong after remaining bytes.
+type limitedBody struct {
+	source    io.Reader
+	remaining int
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	if b.remaining <= 0 {
+		return 0, merry.Wrap(ErrErrorTooLong)
+	}
+	n, err := b.source.Read(p[:min(len(p), b.remaining)])
+	b.remaining -= n
+	return n, err
 }
 
 // writeError sends an error response of this host, with code as its body, and returns the result for the log.
--- a/pkg/grants/manager.go
+++ b/pkg/grants/manager.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/registry"
 	"almondrock.example/almondrock/pkg/routes"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -241,7 +242,11 @@
 	if record == nil {
 		return
 	}
-	m.tasks.Go(func() { m.endCall(record, m.processRange(ctx, table, r, record, candidates)) })
+	m.tasks.Go(func() {
+		pause := retryInterval
+		defer func() { m.endCall(record, pause) }()
+		guard.Do("key range", func() { pause = m.processRange(ctx, table, r, record, candidates) })
+	})
 }
 
 // processRange makes the call or proposal that a range needs now, and returns the time until the next one.
--- a/pkg/grants/record.go
+++ b/pkg/grants/record.go
@@ -120,4 +120,6 @@
 }
 
 // makeDue makes the next call due as soon as possible.
-func (s *callSchedule) makeDue(now time.Duration) { s.nextCallAt, s.dueAfterCall = now, s.callInProgress }
+func (s *callSchedule) makeDue(now time.Duration) {
+	s.nextCallAt, s.dueAfterCall = now, s.callInProgress
+}
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -27,12 +27,14 @@
 	dropped       atomic.Int64
 	currentSecond atomic.Int64
 	linesInSecond atomic.Int64
-	done          chan struct{}
+	started       time.Time
+	// closing is closed when the queued lines are to be written for the last time, done when that has been done.
+	closing, done chan struct{}
 }
 
 // Start makes klog write to output through a new Sink. verbosity is the level up to which klog.V lines are logged.
 func Start(output io.Writer, verbosity int) (*Sink, error) {
-	s := &Sink{lines: make(chan []byte, queueLength), done: make(chan struct{})}
+	s := &Sink{lines: make(chan []byte, queueLength), started: time.Now(), closing: make(chan struct{}), done: make(chan struct{})}
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	for name, value := range map[string]string{
@@ -49,7 +51,7 @@
 
 // Write implements io.Writer. It never blocks and never returns an error; a line that can't be queued is dropped.
 func (s *Sink) Write(line []byte) (int, error) {
-	second := time.Now().Unix()
+	second := int64(time.Since(s.started) / time.Second)
 	if s.currentSecond.Swap(second) != second {
 		s.linesInSecond.Store(0)
 	}
@@ -68,29 +70,46 @@
 // writeLoop writes the queued lines to output in batches, so that a process that logs a lot makes few system calls.
 func (s *Sink) writeLoop(output io.Writer) {
 	defer close(s.done)
-	batch := make([]byte, 0, 16<<10)
-	for line := range s.lines {
-		batch = append(batch[:0], line...)
-		for len(batch) < cap(batch)/2 {
-			more, ok := s.tryReceive()
-			if !ok {
-				break
+	for {
+		select {
+		case line := <-s.lines:
+			s.writeBatch(output, line)
+		case <-s.closing:
+			for line, ok := s.tryReceive(); ok; line, ok = s.tryReceive() {
+				s.writeBatch(output, line)
 			}
-			batch = append(batch, more...)
+			return
 		}
-		if dropped := s.dropped.Swap(0); dropped > 0 {
-			batch = append(batch, fmt.Sprintf("W log lines dropped count=%d\n", dropped)...)
-		}
-		if _, err := output.Write(batch); err != nil {
-			s.dropped.Add(1)
+	}
+}
+
+// batchSize is the size in bytes up to which lines are written together.
+const batchSize = 8 << 10
+
+// writeBatch writes a line and further queued ones.
+func (s *Sink) writeBatch(output io.Writer, line []byte) {
+	batch, lines := append(make([]byte, 0, 2*batchSize), line...), int64(1)
+	for len(batch) < batchSize {
+		more, ok := s.tryReceive()
+		if !ok {
+			break
 		}
+		batch = append(batch, more...)
+		lines++
+	}
+	if dropped := s.dropped.Swap(0); dropped > 0 {
+		batch = append(batch, fmt.Sprintf("W log lines dropped count=%d\n", dropped)...)
+		lines += dropped
+	}
+	if _, err := output.Write(batch); err != nil {
+		s.dropped.Add(lines)
 	}
 }
 
 func (s *Sink) tryReceive() ([]byte, bool) {
 	select {
-	case line, ok := <-s.lines:
-		return line, ok
+	case line := <-s.lines:
+		return line, true
 	default:
 		return nil, false
 	}
@@ -101,7 +120,7 @@
 func (s *Sink) Close() {
 	klog.Flush()
 	klog.SetOutput(io.Discard)
-	close(s.lines)
+	close(s.closing)
 	select {
 	case <-s.done:
 	case <-time.After(flushTimeout):
--- a/pkg/member/transport.go
+++ b/pkg/member/transport.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -67,7 +68,7 @@
 		queue = make(chan queuedBatch, maxQueuedBatches)
 		t.queues[address] = queue
 		for range workersPerPeer {
-			t.tasks.Go(func() { t.deliver(address, queue) })
+			t.tasks.Go(func() { guard.Loop(t.ctx, "send Raft messages", func() { t.deliver(address, queue) }) })
 		}
 	}
 	return queue
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -51,6 +51,7 @@
 	TagClass      = "class"
 	TagDirection  = "direction"
 	TagResult     = "result"
+	TagTask       = "task"
 )
 
 // sanitizer replaces characters that the Prometheus text format does not allow in names, and in tag values all characters
--- a/pkg/registrar/join.go
+++ b/pkg/registrar/join.go
@@ -65,7 +65,7 @@
 	if !r.recordingSelf.CompareAndSwap(false, true) {
 		return
 	}
-	r.tasks.Go(func() {
+	r.start("record own addresses", func() {
 		defer r.recordingSelf.Store(false)
 		if _, err := r.proposeWithRetry(r.ctx, &schemav1.RegistryCommand{RegistryHost: self}); err != nil {
 			klog.V(1).InfoS("addresses of this host not recorded", "err", err)
--- a/pkg/registrar/keyloads.go
+++ b/pkg/registrar/keyloads.go
@@ -63,7 +63,7 @@
 		return
 	}
 	loads := mergeLoads(r.keyLoads.take())
-	r.tasks.Go(func() {
+	r.start("forward key loads", func() {
 		if err := r.call(leader, methodKeyLoads, &schemav1.KeyLoads{Loads: loads}, &schemav1.KeyLoadsAnswer{}); err != nil {
 			klog.V(1).InfoS("key loads not forwarded to leader", "leader", leader, "err", err)
 		}
--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/grants"
+	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/raft"
 	"almondrock.example/almondrock/pkg/replication"
 )
@@ -69,13 +70,18 @@
 	}
 	l.membershipChangedAt = time.Now()
 	l.membershipChanges.Go(func() {
-		ctx, cancel := context.WithTimeout(l.ctx, forwardTimeout)
-		defer cancel()
-		err := next(ctx, l.replica)
-		klog.InfoS("change of members", "reason", reason, "err", err)
+		guard.Do("change of members", func() { l.applyMembershipChange(next, reason) })
 	})
 }
 
+// applyMembershipChange makes a membership change.
+func (l *leadership) applyMembershipChange(next membershipChange, reason string) {
+	ctx, cancel := context.WithTimeout(l.ctx, forwardTimeout)
+	defer cancel()
+	err := next(ctx, l.replica)
+	klog.InfoS("change of members", "reason", reason, "err", err)
+}
+
 // end stops everything that only the leader may do, and waits until it has stopped.
 func (l *leadership) end() {
 	if l.manager == nil {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/grants"
+	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/raft"
@@ -125,6 +126,9 @@
 	if r.id, err = log.IdentityWithDefault(initialID); err != nil {
 		return nil, err
 	}
+	guard.OnPanic(func(task string) {
+		r.metrics.Scope.Tagged(map[string]string{metrics.TagTask: task}).Counter(metrics.Panics).Inc(1)
+	})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.registerHandlers()
 	return r, nil
@@ -165,7 +169,8 @@
 		}
 	})
 	r.tasks.Go(func() {
-		if err := r.run(); err != nil {
+		// After a panic the state of the member is unknown, so the process ends and starts again from its log.
+		if err := guard.Run("registry member", r.run); err != nil {
 			r.failed <- err
 		}
 	})
@@ -264,6 +269,11 @@
 	}
 }
 
+// start runs a task in the background.
+func (r *Registrar) start(task string, f func()) {
+	r.tasks.Go(func() { guard.Do(task, f) })
+}
+
 // call makes a call to another host with forwardTimeout.
 func (r *Registrar) call(address, method string, request, response proto.Message) error {
 	ctx, cancel := context.WithTimeout(r.ctx, forwardTimeout)
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -139,7 +139,7 @@
 // watches through another registry host is added again at its next call.
 func (r *Registrar) removeSilentEntryHosts() {
 	for _, name := range r.watchers.removeSilent() {
-		r.tasks.Go(func() {
+		r.start("remove entry host", func() {
 			if _, err := r.proposeWithRetry(r.ctx, &schemav1.RegistryCommand{EntryLeft: name}); err != nil {
 				klog.InfoS("entry host not removed", "entry", name, "err", err)
 			}
@@ -190,7 +190,7 @@
 			return
 		}
 	}
-	r.tasks.Go(func() {
+	r.start("add entry host", func() {
 		if _, err := r.proposeWithRetry(r.ctx, &schemav1.RegistryCommand{EntryJoined: entry}); err != nil {
 			klog.V(1).InfoS("entry host not added", "entry", entry.GetName(), "err", err)
 		}
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
+	"almondrock.example/almondrock/pkg/guard"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -65,18 +66,8 @@
 	result := &schemav1.RegistryResult{}
 	// A command that cannot be decoded fails on every member alike, so ignoring it keeps the members consistent.
 	if proto.Unmarshal(command, decoded) == nil {
-		s.mu.Lock()
-		next := s.version + 1
-		if s.onlyRaisesFence(decoded.GetRange()) {
-			// Entry hosts do not use fences, so their views need no update and the version stays the same.
-			result.Applied = s.setRange(decoded.GetRange())
-		} else if result.Applied = s.apply(decoded, next); result.Applied {
-			s.version = next
-			close(s.changed)
-			s.changed = make(chan struct{})
-		}
-		result.Fence = s.lastFence
-		s.mu.Unlock()
+		// A command that panics does so on every member, again after each restart, so it must not end the process.
+		guard.Do("apply registry command", func() { s.applyCommand(decoded, result) })
 	}
 	encoded, err := proto.Marshal(result)
 	if err != nil {
@@ -85,6 +76,22 @@
 	return encoded
 }
 
+// applyCommand applies a command and fills in the result.
+func (s *State) applyCommand(command *schemav1.RegistryCommand, result *schemav1.RegistryResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.version + 1
+	if s.onlyRaisesFence(command.GetRange()) {
+		// Entry hosts do not use fences, so their views need no update and the version stays the same.
+		result.Applied = s.setRange(command.GetRange())
+	} else if result.Applied = s.apply(command, next); result.Applied {
+		s.version = next
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	result.Fence = s.lastFence
+}
+
 func (s *State) apply(c *schemav1.RegistryCommand, version uint64) bool {
 	switch {
 	case c.GetRoutes() != nil:
@@ -184,7 +191,7 @@
 	if next.GetLife() != schemav1.Life_LIFE_GONE {
 		return
 	}
-	s.endedTargets = append(s.endedTargets, next.GetId())
+	s.endedTargets = append(slices.DeleteFunc(s.endedTargets, func(id string) bool { return id == next.GetId() }), next.GetId())
 	for len(s.endedTargets) > maxEndedTargets {
 		oldest := s.endedTargets[0]
 		s.endedTargets = s.endedTargets[1:]
@@ -249,7 +256,7 @@
 // onlyRaisesFence reports whether a change gives a range a new fence and changes nothing else.
 func (s *State) onlyRaisesFence(change *schemav1.RangeChange) bool {
 	table, at := s.findRange(change.GetService(), change.GetRange().GetFirst(), change.GetExpectedFence())
-	if at < 0 || change.GetRange().GetFence() != 0 {
+	if at < 0 || change.GetRange() == nil || change.GetRange().GetFence() != 0 {
 		return false
 	}
 	next := proto.Clone(change.GetRange()).(*schemav1.KeyRange)
@@ -267,7 +274,7 @@
 
 func (s *State) setRange(change *schemav1.RangeChange) bool {
 	table, at := s.findRange(change.GetService(), change.GetRange().GetFirst(), change.GetExpectedFence())
-	if at < 0 {
+	if at < 0 || change.GetRange() == nil {
 		return false
 	}
 	next := proto.Clone(change.GetRange()).(*schemav1.KeyRange)
@@ -311,7 +318,7 @@
 	defer s.mu.RUnlock()
 	state := &schemav1.RegistryState{
 		Routes: s.routes, Evacuated: s.evacuated(), Entries: sortedByName(s.entryHosts), RegistryHosts: sortedByName(s.hosts),
-		Keys: sortedByName(s.keyTables), Targets: sortedByName(s.targets), LastFence: s.lastFence, Version: s.version,
+		Keys: sortedByName(s.keyTables), Targets: s.orderedTargets(), LastFence: s.lastFence, Version: s.version,
 	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	return encoded, merry.Wrap(err)
@@ -355,6 +362,23 @@
 	return nil
 }
 
+// orderedTargets returns the registrations of all targets: those that have not ended by ID, and then those that have in the order of
+// their ends, so that a restored member forgets the same ones as the others.
+func (s *State) orderedTargets() []*schemav1.Registration {
+	ordered := make([]*schemav1.Registration, 0, len(s.targets))
+	for _, target := range sortedByName(s.targets) {
+		if target.GetLife() != schemav1.Life_LIFE_GONE {
+			ordered = append(ordered, target)
+		}
+	}
+	for _, id := range s.endedTargets {
+		if target := s.targets[id]; target.GetLife() == schemav1.Life_LIFE_GONE {
+			ordered = append(ordered, target)
+		}
+	}
+	return ordered
+}
+
 // sortedByName returns the values in the order of their map keys, so that equal states have equal snapshots.
 func sortedByName[T any](values map[string]T) []T {
 	ordered := make([]T, 0, len(values))
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -9,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"almondrock.example/almondrock/pkg/guard"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -28,6 +30,90 @@
 	return &schemav1.Registration{Id: id, Address: "10.0.0.1:1", StartedUnixMs: started, Service: "desk", Life: life}
 }
 
+// FuzzApply checks that no command ends a member, and that a restored member stays the same as the others.
+func FuzzApply(f *testing.F) {
+	commands := []*schemav1.RegistryCommand{
+		{Registration: &schemav1.Registration{Id: "t", StartedUnixMs: 1, Address: "a", Service: "s", Life: schemav1.Life_LIFE_READY}},
+		{ForgetTarget: &schemav1.Registration{Id: "t"}},
+		{Keys: &schemav1.KeyTable{Service: "s", Ranges: []*schemav1.KeyRange{{Last: 65535, Owner: "t"}}}},
+		{Range: &schemav1.RangeChange{Service: "s", ExpectedFence: 1}},
+		{Range: &schemav1.RangeChange{Service: "s", ExpectedFence: 1, Range: &schemav1.KeyRange{Last: 65535, Owner: "u"}}},
+		{Split: &schemav1.RangeSplit{Service: "s", ExpectedFence: 1, Starts: []uint32{7, 5, 1 << 31}}},
+		{Routes: &schemav1.RouteDocument{Revision: 3}}, {Evacuation: &schemav1.EvacuationChange{DataCentre: "d", Out: true}},
+		{EntryJoined: &schemav1.EntryHost{}}, {RegistryHost: &schemav1.RegistryHost{}}, {EntryLeft: "e"}, {},
+	}
+	for _, c := range commands {
+		encoded, err := proto.Marshal(c)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Add([]byte("\xff\xff"))
+	f.Fuzz(func(t *testing.T, command []byte) {
+		panics := 0
+		guard.OnPanic(func(string) { panics++ })
+		s := NewState()
+		for _, c := range append(commands[:3:3], &schemav1.RegistryCommand{}) {
+			encoded, err := proto.Marshal(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Apply(0, encoded)
+		}
+		s.Apply(0, command)
+		s.Apply(0, command)
+		if panics > 0 {
+			t.Fatal("a command panicked")
+		}
+		snapshot, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := NewState()
+		if err := restored.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		again, err := restored.Snapshot()
+		if err != nil || !bytes.Equal(snapshot, again) {
+			t.Fatal("a restored member differs", err)
+		}
+	})
+}
+
+var _ = Describe("State after many ends", func() {
+	// Guards against members that forget different ended targets, so that a late announcement registers one again on some of them.
+	It("forgets the same ended targets on a restored member", func() {
+		apply := func(s *State, c *schemav1.RegistryCommand) {
+			encoded, err := proto.Marshal(c)
+			Expect(err).NotTo(HaveOccurred())
+			s.Apply(0, encoded)
+		}
+		end := func(s *State, i int) {
+			id := fmt.Sprint("t", i*7919%100003)
+			apply(s, &schemav1.RegistryCommand{Registration: &schemav1.Registration{Id: id, StartedUnixMs: 1, Address: id, Life: schemav1.Life_LIFE_READY}})
+			apply(s, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: id}})
+		}
+		s, restored := NewState(), NewState()
+		for i := range maxEndedTargets {
+			end(s, i)
+		}
+		snapshot, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(restored.Restore(snapshot)).To(Succeed())
+		for i := range 20 {
+			end(s, maxEndedTargets+i)
+			end(restored, maxEndedTargets+i)
+		}
+		for i := range maxEndedTargets + 20 {
+			id := fmt.Sprint("t", i*7919%100003)
+			_, known := s.Target(id)
+			_, knownByRestored := restored.Target(id)
+			Expect(knownByRestored).To(Equal(known), id)
+		}
+	})
+})
+
 var _ = Describe("Registrations", func() {
 	It("ignores a delayed ready announcement of a draining target from the same start", func() {
 		s := NewState()
--- a/pkg/replication/replica.go
+++ b/pkg/replication/replica.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"almondrock.example/almondrock/pkg/guard"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 
 	"github.com/ansel1/merry/v2"
@@ -60,11 +61,19 @@
 	return r, nil
 }
 
-// run is the goroutine of the replica. It wakes up for inputs and at the next timeout, not at every tick, so that an idle
-// member wakes up rarely.
+// run is the goroutine of the replica.
 func (r *Replica) run() {
 	defer close(r.done)
 	defer r.leaseEnd.Store(0)
+	if err := guard.Run("replica", r.loop); err != nil {
+		// After a panic nothing more is saved or sent: the state in memory may differ from the log.
+		r.close(err)
+	}
+}
+
+// loop runs cycles until the replica stops. It wakes up for inputs and at the next timeout, not at every tick, so that an idle member
+// wakes up rarely.
+func (r *Replica) loop() error {
 	clock := r.driver.options.Clock
 	timerDue := r.driver.nextWakeup()
 	timer := clock.NewTimer(timerDue - clock.Since(r.startTime))
@@ -75,7 +84,7 @@
 		select {
 		case <-r.stop:
 			r.close(nil)
-			return
+			return nil
 		case <-timer.Chan():
 			timerDue = 0
 		case batch := <-r.inbox:
@@ -85,8 +94,7 @@
 		}
 		batches, calls = r.drainQueues(batches, calls)
 		if err := r.runCycle(batches, calls); err != nil {
-			r.close(err)
-			return
+			return err
 		}
 		// The timer is not moved to a later time. One that fires too early costs one idle cycle, while a reset with every
 		// heartbeat would cost more.
--- a/pkg/rpc/rpc_test.go
+++ b/pkg/rpc/rpc_test.go
@@ -38,6 +38,9 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	})
+	rpc.Register(server, "Test.Panic", func(context.Context, *schemav1.RaftBatch) (*schemav1.Entry, error) {
+		panic("unexpected state")
+	})
 	rpc.Register(server, "Test.Fail", func(context.Context, *schemav1.RaftBatch) (*schemav1.Entry, error) {
 		return nil, failure
 	})
@@ -78,6 +81,18 @@
 		group.Wait()
 	})
 
+	// Guards against one unexpected error in a handler that ends the host.
+	It("returns an error to the caller of a handler that panics, and handles further calls", func() {
+		_, address := startServer(rpc.ServerOptions{}, nil)
+		client := newClient(rpc.ClientOptions{})
+		_, err := call(client, address, "Test.Panic", 1)
+		var remote *rpc.RemoteError
+		Expect(errors.As(err, &remote)).To(BeTrue(), "%v", err)
+		Expect(remote.Code).To(Equal(rpc.CodeInternal))
+		_, err = call(client, address, "Test.Echo", 2)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against a frame that is truncated at the chunk size.
 	It("transfers messages larger than a chunk", func() {
 		_, address := startServer(rpc.ServerOptions{}, nil)
--- a/pkg/rpc/servercodec.go
+++ b/pkg/rpc/servercodec.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/guard"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -35,15 +36,19 @@
 	server *Server
 }
 
-// Call runs the handler of the request. It does not recover from a panic in a handler, because the handler may have left
-// inconsistent state that must not be used any more.
+// Call runs the handler of the request. The caller of a handler that panics gets an error; state that a handler shares with others is
+// changed by the goroutine that owns it, which ends the host if it panics.
 func (d *dispatchReceiver) Call(request *IncomingRequest, outgoing *OutgoingResponse) error {
 	defer request.cancel()
 	handler, ok := d.server.handler(request.method)
 	if !ok {
 		return NewError(CodeUnknownMethod, "%s", request.method)
 	}
-	response, err := handler(request.ctx, request.body)
+	var response proto.Message
+	err := guard.Run(request.method, func() (err error) {
+		response, err = handler(request.ctx, request.body)
+		return err
+	})
 	if err != nil {
 		return decodeError(encodeError(err))
 	}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -17,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 
+	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/internal/headlimit"
 	"almondrock.example/almondrock/pkg/internal/sockets"
 )
@@ -290,14 +291,17 @@
 	}
 	written = make(chan struct{})
 	go func() {
-		if writeBody(cn, r, chunked) == nil {
-			close(written)
+		if err := guard.Run("request body", func() error { return writeBody(cn, r, chunked) }); err != nil {
+			// Keeps the target from accepting a truncated body as complete.
+			cn.reset()
+			return
 		}
+		close(written)
 	}()
 	return written, n, nil
 }
 
-// writeBody writes the body, in chunks if its length is not known. A connection whose body could not be read to its end is closed.
+// writeBody writes the body, in chunks if its length is not known.
 func writeBody(cn *conn, r *Request, chunked bool) error {
 	body := io.Reader(bytes.NewReader(r.Body))
 	if r.BodyRest != nil {
@@ -308,10 +312,6 @@
 		if err == nil && r.BodyRest != nil && n != r.ContentLength {
 			err = io.ErrUnexpectedEOF
 		}
-		if err != nil {
-			// Keeps the target from accepting a truncated body as complete.
-			cn.reset()
-		}
 		return err
 	}
 	buffer := make([]byte, 16<<10)
@@ -329,7 +329,6 @@
 			return werr
 		}
 		if err != nil {
-			cn.Close()
 			return err
 		}
 	}
