--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -96,6 +96,7 @@
 	// coldRate is the request rate of a cold target, in requests per second from all entry hosts together.
 	coldRate    float64
 	retryBudget tokenBucket
+	typical     typical
 }
 
 // peerReport is the last load report of another entry host.
@@ -144,6 +145,7 @@
 		d.targets[next.ID] = known
 		d.targetsByHash[known.hash] = known
 		s := d.service(next.Service)
+		known.typical = &s.typical
 		s.targets = append(s.targets, known)
 	}
 	d.setPreferred()
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -81,6 +81,8 @@
 	results    map[string]*classResult
 	// measureFrom is the time from which on requests are counted. Before it, the dispatchers learn.
 	measureFrom time.Duration
+	// measureUntil is the time until which requests are counted; 0 stands for the end.
+	measureUntil time.Duration
 }
 
 type simHost struct {
@@ -210,7 +212,7 @@
 
 func (sim *simulation) request(h *simHost, c class) {
 	began, result := sim.now, sim.results[c.name]
-	measured := began >= sim.measureFrom
+	measured := began >= sim.measureFrom && (sim.measureUntil == 0 || began < sim.measureUntil)
 	if measured {
 		result.requests++
 	}
@@ -309,6 +311,55 @@
 	})
 })
 
+var _ = Describe("Hundreds of targets", func() {
+	// The desk service of the deployment sbfa-fitting-large on its scale days, with half of the data centres. Each host sends 14 requests a
+	// second to 304 targets, so that most targets have not reported to it for long.
+	desk := deployment{
+		hostsPerDataCentre: 23, targetsPerDataCentre: 76, slots: 2, speeds: []float64{1 / 0.6, 1, 1 / 1.4}, noiseShare: 0.2, noiseFactor: 3,
+		noiseEvery: 400 * ms, arrivals: []float64{330, 330, 330, 330},
+		classes: []class{
+			{"lookup", 0.76, 270 * ms, 0.3, 1200 * ms, nil},
+			{"booking", 0.24, 350 * ms, 0.8, 1500 * ms, []string{"east"}},
+		},
+		nearDelay: ms, farDelay: 12 * ms,
+	}
+
+	It("get fewer requests that end late when a host expects the usual load of those it does not know (sbfa-fitting-large, scale days)", func() {
+		late := func(typicalUnknown bool) float64 {
+			sim := newSimulation(desk, 3)
+			sim.measureUntil = 5 * time.Second
+			if typicalUnknown {
+				for _, h := range sim.hosts {
+					for _, t := range h.dispatcher.targets {
+						t.typical = &typical{}
+					}
+				}
+			}
+			late, requests := 0, 0
+			for _, r := range sim.simulate(8*time.Second, 66*ms) {
+				late += r.late + r.refused
+				requests += r.requests
+			}
+			AddReportEntry("late or refused", float64(late)/float64(requests))
+			return float64(late) / float64(requests)
+		}
+		Expect(late(false)).To(BeNumerically("<", late(true)))
+	})
+
+	It("are taken for as loaded as the others, until they report (unit)", func() {
+		d := newDispatcher("n")
+		d.SetTargets(0, []Target{newTarget("known", "n", "east"), newTarget("unknown", "n", "east")})
+		request := lookupRequest()
+		request.ExcludedTargets = []string{"unknown"}
+		choice := mustChoose(d, 0, request)
+		d.Finish(100*ms, choice, Result{Outcome: OutcomeAnswered, Latency: 100 * ms, Report: &TargetLoad{Running: 2, Waiting: 3, Slots: 2, Slowdown: 2}})
+		unknown := d.targets["unknown"]
+		Expect(unknown.expectedLoad(100 * ms)).To(BeNumerically("~", 4, 0.1))
+		Expect(unknown.slowdownAt(100 * ms)).To(BeNumerically("~", 2, 0.5))
+		Expect(d.targets["known"].expectedLoad(time.Minute)).To(BeNumerically("~", 4, 0.1), "an old report says no more than the usual load")
+	})
+})
+
 var _ = Describe("Load of an owner of keys", func() {
 	It("is not taken from old reports, so that no requests are refused because of load that is long over (lookbook, scale days)", func() {
 		d := newDispatcher("n")
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -108,7 +108,9 @@
 	// addition to those of this host and its peers.
 	reportedSlowdown, otherLoad trackedValue
 	hasReport                   bool
-	reportAt                    time.Duration
+	// typical is what the targets of the service report.
+	typical  *typical
+	reportAt time.Duration
 	// failureRate is the smoothed share of attempts that failed, timed out or were shed, as of failureRateAt.
 	failureRate   float64
 	failureRateAt time.Duration
--- a/pkg/dispatch/targetload.go
+++ b/pkg/dispatch/targetload.go
@@ -19,6 +19,12 @@
 	// ownerLoadDecayTime is the time constant with which the load of an owner of keys from hosts that are not peers fades to 0 when
 	// no new report arrives.
 	ownerLoadDecayTime = 2 * time.Second
+	// typicalWeight is the weight of one report in the typical load and slowdown of the targets of a service. It averages over about as
+	// many targets as one host asks within seconds.
+	typicalWeight = 0.03
+	// typicalLoadDecayTime is the time constant with which the load that a target reported is replaced by the typical one. Without it,
+	// a host that sends to hundreds of targets believes that those which it does not know are idle.
+	typicalLoadDecayTime = 2 * time.Second
 	// minReportWeight is the minimum weight of a report in a mean, used if it arrives right after another one.
 	minReportWeight = 0.02
 )
@@ -51,10 +57,32 @@
 	return v.mean + (v.last-v.mean)*math.Exp(-float64(now-v.updatedAt)/float64(decayTime))
 }
 
+// typical has the means of what all targets of a service reported, as the estimate for a target that has not reported for long.
+type typical struct {
+	// load is the number of other requests at a target for each of its slots.
+	load float64
+	// slowdown is the product of the reported slowdown and the correction.
+	slowdown float64
+	known    bool
+}
+
+// record adds the report of a target.
+func (y *typical) record(load, slowdown float64) {
+	if !y.known {
+		*y = typical{load: load, slowdown: slowdown, known: true}
+		return
+	}
+	y.load += (load - y.load) * typicalWeight
+	y.slowdown += (slowdown - y.slowdown) * typicalWeight
+}
+
 // recordReport adds a load report of the target itself, which came with a response. The report still counts the request of that
 // response as running, but ownInFlight and peerInFlight do not.
 func (t *target) recordReport(now time.Duration, report TargetLoad) {
 	t.reportAt, t.hasReport = now, true
+	if !t.isOwner {
+		t.typical.record(float64(max(0, report.Running+report.Waiting-1))/float64(t.Slots), t.slowdownCorrection*max(report.Slowdown, minSlowdown))
+	}
 	otherLoad := report.Running + report.Waiting - 1 - t.ownInFlight - t.peerInFlight
 	t.otherLoad.record(now, float64(max(0, otherLoad)), otherLoadMeanDecayTime)
 	if report.Slowdown > 0 {
@@ -65,15 +93,30 @@
 // expectedLoad returns the expected number of requests at the target: those of this host, those that peers reported, and those of
 // other hosts, which only the reports of the target show.
 func (t *target) expectedLoad(now time.Duration) float64 {
-	otherLoad := t.otherLoad.estimate(now, otherLoadDecayTime, 0)
-	if t.isOwner {
+	known, otherLoad := float64(t.ownInFlight+t.peerInFlight), t.otherLoad.estimate(now, otherLoadDecayTime, 0)
+	switch {
+	case t.isOwner:
 		// All hosts send requests to an owner, but each of them rarely, so the last report is usually old.
 		otherLoad *= math.Exp(-float64(now-t.otherLoad.updatedAt) / float64(ownerLoadDecayTime))
+	case t.typical.known:
+		expected := max(0, t.typical.load*float64(t.Slots)-known)
+		otherLoad = expected + (otherLoad-expected)*t.reportWeight(now)
 	}
-	return float64(t.ownInFlight+t.peerInFlight) + otherLoad
+	return known + otherLoad
+}
+
+// reportWeight returns the weight of the last load report relative to what is typical for the service.
+func (t *target) reportWeight(now time.Duration) float64 {
+	if !t.hasReport {
+		return 0
+	}
+	return math.Exp(-float64(now-t.reportAt) / float64(typicalLoadDecayTime))
 }
 
 // slowdownAt returns the expected processing time at the target relative to the base duration.
 func (t *target) slowdownAt(now time.Duration) float64 {
+	if !t.hasReport && t.observations == 0 && t.typical.known {
+		return min(max(t.typical.slowdown, minSlowdown), maxSlowdown)
+	}
 	return min(max(t.slowdownCorrection*t.reportedSlowdown.estimate(now, slowdownDecayTime, defaultSlowdown), minSlowdown), maxSlowdown)
 }
--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -148,6 +148,19 @@
 		Expect(ready()).To(Equal(http.StatusOK))
 	})
 
+	It("responds with 404 to an unknown route only while its configuration is known to be current (sweep at 300 hosts)", func() {
+		h := startHost()
+		applyView(h, 1, nil)
+		status, _, _ := sendRequest(h, "/added/")
+		Expect(status).To(Equal(http.StatusNotFound))
+		h.confirmedAt.Store(int64(h.now() - maxConfirmationAge - time.Millisecond))
+		status, _, header := sendRequest(h, "/added/")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+		status, _, _ = sendRequest(h, "/safe/")
+		Expect(status).To(Equal(http.StatusServiceUnavailable), "a known route is served, here without targets")
+	})
+
 	It("ignores a view that is older than the one in force", func() {
 		h := startHost()
 		t := startTarget("t", "desk")
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -19,8 +19,11 @@
 	maxRetainedBody = 256 << 10
 	// defaultTimeout applies when neither the request nor the route states a timeout.
 	defaultTimeout = 30 * time.Second
-	// unconfiguredRetryAfter is the Retry-After value, in seconds, while the host has no configuration.
+	// unconfiguredRetryAfter is the Retry-After value, in seconds, while the host has no configuration or may lack a newer one.
 	unconfiguredRetryAfter = "0.300"
+	// maxConfirmationAge is the age of the last confirmation of the view from which on a missing route may have been added meanwhile. A
+	// registry host confirms the view at least every 400 ms.
+	maxConfirmationAge = 1500 * time.Millisecond
 )
 
 // serve handles one request of a caller.
@@ -41,8 +44,7 @@
 	}
 	route, ok := v.table.Find(r.Host, r.URL.EscapedPath())
 	if !ok {
-		result := writeError(w, p, id, http.StatusNotFound, "no-route")
-		klog.InfoS("request", "id", id, "result", result, "revision", v.table.Configuration.Revision, "viewVersion", v.version)
+		h.refuseUnknownRoute(w, id, v)
 		return
 	}
 	x := &exchange{host: h, w: w, r: r, id: id, route: route, service: h.chooseService(route), started: started}
@@ -63,6 +65,19 @@
 	result = x.run(r.Context())
 }
 
+// refuseUnknownRoute responds to a request without a route: with 404 if the configuration is current, else with 503, because the route
+// may have been added since.
+func (h *Host) refuseUnknownRoute(w http.ResponseWriter, id string, v *view) {
+	status, code := http.StatusNotFound, "no-route"
+	age := h.now() - time.Duration(h.confirmedAt.Load())
+	if age > maxConfirmationAge {
+		status, code = http.StatusServiceUnavailable, "configuration-outdated"
+		w.Header().Set("Retry-After", unconfiguredRetryAfter)
+	}
+	result := writeError(w, h.options.Protocol, id, status, code)
+	klog.InfoS("request", "id", id, "result", result, "revision", v.table.Configuration.Revision, "viewVersion", v.version, "viewAge", age)
+}
+
 // requestTimeout is the time that a request has: the time that the caller states, but at most the timeout of the route.
 func (h *Host) requestTimeout(r *http.Request, timeout time.Duration) time.Duration {
 	if timeout <= 0 {
