--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/dispatch"
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/routes"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 	"almondrock.example/almondrock/pkg/upstream"
@@ -266,7 +267,7 @@
 		return x.endWithoutTarget(dispatch.ReasonRefused), false
 	}
 	if misdirected && x.exclusive {
-		pause(ctx, keyRetryDelay)
+		monotonic.Sleep(ctx, keyRetryDelay)
 	}
 	return "", true
 }
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -17,6 +17,7 @@
 	"almondrock.example/almondrock/pkg/dispatch"
 	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/httpserver"
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/routes"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -172,7 +173,7 @@
 // closeIdleConnections regularly closes idle connections that have expired or whose target is no longer in the view.
 func (h *Host) closeIdleConnections(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, sweepInterval)
+		monotonic.Sleep(ctx, sweepInterval)
 		targets := h.current().targets
 		h.upstream.CloseIdle(func(poolKey string) bool {
 			id, _, _ := strings.Cut(poolKey, " ")
--- a/pkg/entry/load_report.go
+++ b/pkg/entry/load_report.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -56,7 +57,7 @@
 	lastSent := time.Duration(0)
 	lastReportEmpty := false
 	for {
-		pause(ctx, max(minReportInterval, time.Duration(len(*h.peers.Load()))*reportIntervalPerPeer))
+		monotonic.Sleep(ctx, max(minReportInterval, time.Duration(len(*h.peers.Load()))*reportIntervalPerPeer))
 		if ctx.Err() != nil {
 			return
 		}
@@ -97,7 +98,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				klog.V(1).InfoS("load report not received", "err", err)
-				pause(ctx, minReportInterval)
+				monotonic.Sleep(ctx, minReportInterval)
 			}
 			continue
 		}
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/dispatch"
+	"almondrock.example/almondrock/pkg/registry"
 	"almondrock.example/almondrock/pkg/routes"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -56,11 +57,19 @@
 	if len(update.GetKeys()) > 0 {
 		n.keyTables = cloneMap(v.keyTables)
 		for _, table := range update.GetKeys() {
-			n.keyTables[table.GetService()] = table
+			known := n.keyTables[table.GetService()].GetRanges()
+			if update.GetFull() {
+				known = nil
+			}
+			n.keyTables[table.GetService()] = &schemav1.KeyTable{Service: table.GetService(), Ranges: registry.MergeRanges(known, table.GetRanges())}
 		}
 	}
-	if update.GetHostsChanged() {
-		n.entryHosts, n.registryHosts = update.GetEntries(), update.GetRegistryHosts()
+	if update.GetFull() {
+		n.entryHosts = nil
+	}
+	n.entryHosts = registry.MergeEntryHosts(n.entryHosts, update.GetEntries())
+	if len(update.GetRegistryHosts()) > 0 {
+		n.registryHosts = update.GetRegistryHosts()
 	}
 	return &n
 }
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/registrar"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -42,7 +43,7 @@
 		case err != nil:
 			klog.InfoS("registry host not answering", "address", address, "viewVersion", h.current().version, "err", err)
 			index, leaderlessUpdates, switchedAt = index+1, 0, h.now()
-			pause(ctx, watchRetryDelay)
+			monotonic.Sleep(ctx, watchRetryDelay)
 		case !update.GetLeaderKnown():
 			// Without a leader the update may be outdated. It replaces the view in force only if it is newer, and it cannot be the
 			// first view.
@@ -52,7 +53,7 @@
 			if leaderlessUpdates++; leaderlessUpdates >= maxLeaderlessUpdates {
 				klog.InfoS("registry host has no leader", "address", address, "viewVersion", h.current().version)
 				index, leaderlessUpdates, switchedAt = index+1, 0, h.now()
-				pause(ctx, watchRetryDelay)
+				monotonic.Sleep(ctx, watchRetryDelay)
 			}
 		default:
 			leaderlessUpdates = 0
@@ -61,14 +62,6 @@
 	}
 }
 
-// pause sleeps for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // watch asks a registry host for the changes since the view in force, and reports the key loads of this host.
 func (h *Host) watch(ctx context.Context, address string) (*schemav1.ViewUpdate, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
--- a/pkg/guard/guard.go
+++ b/pkg/guard/guard.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -50,6 +51,12 @@
 	}
 }
 
+// IsAbort reports whether a recovered value only ends the response of a handler.
+func IsAbort(reason any) bool {
+	err, ok := reason.(error)
+	return ok && errors.Is(err, http.ErrAbortHandler)
+}
+
 // Run calls f and returns its error, or a *PanicError if it panics. http.ErrAbortHandler is passed on, because it only ends a response.
 func Run(task string, f func() error) (err error) {
 	defer func() {
@@ -57,7 +64,7 @@
 		if reason == nil {
 			return
 		}
-		if reason == http.ErrAbortHandler {
+		if IsAbort(reason) {
 			panic(reason)
 		}
 		record(task, reason)
--- a/pkg/host/controlclient.go
+++ b/pkg/host/controlclient.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -92,7 +93,7 @@
 			return nil
 		}
 		klog.V(1).InfoS("cannot join the deployment, will retry", "host", h.settings.GetName(), "err", err)
-		if !sleep(ctx, pollInterval) {
+		if !monotonic.Sleep(ctx, pollInterval) {
 			return ctx.Err()
 		}
 	}
@@ -117,7 +118,7 @@
 	if h.join(ctx) != nil {
 		return
 	}
-	for sleep(ctx, pollInterval) {
+	for monotonic.Sleep(ctx, pollInterval) {
 		h.options.Faults.wait(ctx)
 		if request := h.pollRequest(); request != nil {
 			h.poll(ctx, request)
@@ -205,15 +206,3 @@
 		old.replica.Stop()
 	}
 }
-
-// sleep waits for d. It returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/host/groupservice.go
+++ b/pkg/host/groupservice.go
@@ -10,6 +10,7 @@
 
 	"almondrock.example/almondrock/pkg/apierr"
 	"almondrock.example/almondrock/pkg/control"
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/ownership"
 	"almondrock.example/almondrock/pkg/replication"
@@ -185,7 +186,7 @@
 		if err != nil && !isNotProposed(err) {
 			return nil, err
 		}
-		if !sleep(ctx, proposeRetryDelay) {
+		if !monotonic.Sleep(ctx, proposeRetryDelay) {
 			return nil, ctx.Err()
 		}
 	}
--- a/pkg/host/loops.go
+++ b/pkg/host/loops.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/metrics"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -11,7 +12,7 @@
 
 // leaderLoop runs the decisions of the leader of the data centre group.
 func (h *Host) leaderLoop(ctx context.Context) {
-	for sleep(ctx, leaderStepInterval) {
+	for monotonic.Sleep(ctx, leaderStepInterval) {
 		h.options.Faults.wait(ctx)
 		if g := h.group.Load(); g != nil {
 			stepContext, cancel := context.WithTimeout(ctx, callTimeout)
@@ -117,7 +118,7 @@
 		h.options.Faults.wait(ctx)
 		g := h.group.Load()
 		if g == nil {
-			if !sleep(ctx, lease.RenewInterval) {
+			if !monotonic.Sleep(ctx, lease.RenewInterval) {
 				return
 			}
 			continue
--- a/pkg/host/stop.go
+++ b/pkg/host/stop.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/raft"
 	"almondrock.example/almondrock/pkg/replication"
 )
@@ -36,7 +37,7 @@
 func (h *Host) Stop(ctx context.Context) error {
 	h.draining.Store(true)
 	klog.InfoS("planned stop started", "host", h.settings.GetName())
-	sleep(ctx, balancerDelay)
+	monotonic.Sleep(ctx, balancerDelay)
 	if h.options.Handover {
 		h.handOver(ctx)
 	}
@@ -50,7 +51,7 @@
 func (h *Host) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	for sleep(ctx, leaderStepInterval) {
+	for monotonic.Sleep(ctx, leaderStepInterval) {
 		g := h.group.Load()
 		if g == nil {
 			return
--- a/pkg/httpserver/exchange.go
+++ b/pkg/httpserver/exchange.go
@@ -13,6 +13,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/net/http/httpguts"
+
+	"almondrock.example/almondrock/pkg/guard"
 )
 
 // exchange is one request and its response. It implements http.ResponseWriter for the handler. Writes wait until the responses to
@@ -87,7 +89,7 @@
 			return
 		}
 		unusable = true
-		if reason == http.ErrAbortHandler {
+		if guard.IsAbort(reason) {
 			return
 		}
 		x.conn.logPanic(x, reason)
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -186,21 +186,24 @@
 
 	It("delivers earlier responses before it rejects a malformed or oversized request behind them", func() {
 		_, address := startServer(h, nil)
-		for text, expected := range map[string]int{
-			"nonsense\r\n\r\n":                                                                 http.StatusBadRequest,
-			"GET /2 HTTP/1.1\r\n\r\n":                                                          http.StatusBadRequest,
-			"GET /2 HTTP/1.1\r\nHost: a\r\nA: b\x01\r\n\r\n":                                   http.StatusBadRequest,
-			"GET /2 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n":                                    http.StatusBadRequest,
-			"PRI * HTTP/2.0\r\nHost: a\r\n\r\n":                                                http.StatusHTTPVersionNotSupported,
-			get("/" + strings.Repeat("x", 64<<10)):                                             http.StatusRequestHeaderFieldsTooLarge,
-			"POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nnot a chunk\r\n": http.StatusBadRequest,
+		for _, rejected := range []struct {
+			status int
+			text   string
+		}{
+			{http.StatusBadRequest, "nonsense\r\n\r\n"},
+			{http.StatusBadRequest, "GET /2 HTTP/1.1\r\n\r\n"},
+			{http.StatusBadRequest, "GET /2 HTTP/1.1\r\nHost: a\r\nA: b\x01\r\n\r\n"},
+			{http.StatusBadRequest, "GET /2 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
+			{http.StatusHTTPVersionNotSupported, "PRI * HTTP/2.0\r\nHost: a\r\n\r\n"},
+			{http.StatusRequestHeaderFieldsTooLarge, get("/" + strings.Repeat("x", 64<<10))},
+			{http.StatusBadRequest, "POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nnot a chunk\r\n"},
 		} {
 			c := connect(address)
-			c.send(get("/1") + text)
+			c.send(get("/1") + rejected.text)
 			_, body, _ := c.receive()
 			Expect(body).To(Equal("/1"))
 			status, _, closes := c.receive()
-			Expect(status).To(Equal(expected), text[:min(len(text), 40)])
+			Expect(status).To(Equal(rejected.status), rejected.text[:min(len(rejected.text), 40)])
 			Expect(closes).To(BeTrue())
 			c.expectEnd()
 		}
--- a/pkg/internal/monotonic/monotonic.go
+++ b/pkg/internal/monotonic/monotonic.go
@@ -1,8 +1,23 @@
-// Package monotonic provides the monotonic clock of the admission and pacing code, and a timer on that clock that can be
-// set again and again.
+// Package monotonic provides the monotonic clock of the admission and pacing code, a timer on that clock that can be set
+// again and again, and a pause that a context ends.
 package monotonic
 
-import "time"
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d. It returns false when ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
 
 // Clock provides monotonic time and one-shot timers. Tests replace it by a simulated clock.
 type Clock interface {
--- a/pkg/member/storage.go
+++ b/pkg/member/storage.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/replication"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 	"almondrock.example/almondrock/pkg/wal"
@@ -53,7 +54,7 @@
 			s.onFull(true)
 			klog.ErrorS(err, "disk is full; this member stores, votes and acknowledges nothing until there is room")
 		}
-		if !pause(s.ctx, noSpaceRetryInterval) {
+		if !monotonic.Sleep(s.ctx, noSpaceRetryInterval) {
 			return err
 		}
 	}
@@ -72,24 +73,12 @@
 		if refused == 0 {
 			klog.ErrorS(err, "disk is full; this member starts when there is room")
 		}
-		if !pause(ctx, noSpaceRetryInterval) {
+		if !monotonic.Sleep(ctx, noSpaceRetryInterval) {
 			return nil, err
 		}
 	}
 }
 
-// pause sleeps for d. It returns false if ctx ends before.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // IsNoSpace reports whether err is or wraps a *wal.NoSpaceError.
 func IsNoSpace(err error) bool {
 	var noSpace *wal.NoSpaceError
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -44,8 +44,14 @@
 
 // changeVersions has the version at which each part of the state last changed. UpdateSince uses it to select what to send.
 type changeVersions struct {
-	routes, evacuated, hosts uint64
-	targets, keyTables       map[string]uint64
+	routes, evacuated, registryHosts uint64
+	targets                          map[string]uint64
+	// ranges has the version of each key range by service and first key.
+	ranges map[string]map[uint32]uint64
+	// entryHosts has the version of each entry host, including those that have left since entryHostsReset. A view older than
+	// entryHostsReset needs the whole list.
+	entryHosts      map[string]uint64
+	entryHostsReset uint64
 	// targetRemoved is the version at which an ended target was last deleted. A view older than that needs a full update, because
 	// it may have missed the end of that target.
 	targetRemoved uint64
@@ -56,7 +62,7 @@
 	return &State{
 		targets: map[string]*schemav1.Registration{}, evacuations: map[string]bool{}, keyTables: map[string]*schemav1.KeyTable{},
 		entryHosts: map[string]*schemav1.EntryHost{}, hosts: map[string]*schemav1.RegistryHost{}, changed: make(chan struct{}),
-		changeVersions: changeVersions{targets: map[string]uint64{}, keyTables: map[string]uint64{}},
+		changeVersions: changeVersions{targets: map[string]uint64{}, ranges: map[string]map[uint32]uint64{}, entryHosts: map[string]uint64{}},
 	}
 }
 
@@ -109,29 +115,59 @@
 	case c.GetSplit() != nil:
 		return s.applySplit(c.GetSplit(), version)
 	case c.GetEntryJoined() != nil:
-		return setHost(s.entryHosts, c.GetEntryJoined().GetName(), c.GetEntryJoined(), &s.changeVersions, version)
+		if c.GetEntryJoined().GetDataCentre() == "" || !setHost(s.entryHosts, c.GetEntryJoined().GetName(), c.GetEntryJoined()) {
+			return false
+		}
+		s.setEntryHostVersion(c.GetEntryJoined().GetName(), version)
+		return true
 	case c.GetEntryLeft() != "":
 		if _, ok := s.entryHosts[c.GetEntryLeft()]; !ok {
 			return false
 		}
 		delete(s.entryHosts, c.GetEntryLeft())
-		s.changeVersions.hosts = version
+		s.setEntryHostVersion(c.GetEntryLeft(), version)
 		return true
 	case c.GetRegistryHost() != nil:
-		return setHost(s.hosts, c.GetRegistryHost().GetName(), c.GetRegistryHost(), &s.changeVersions, version)
+		if !setHost(s.hosts, c.GetRegistryHost().GetName(), c.GetRegistryHost()) {
+			return false
+		}
+		s.changeVersions.registryHosts = version
+		return true
 	}
 	return false
 }
 
-func setHost[T proto.Message](hosts map[string]T, name string, host T, changeVersions *changeVersions, version uint64) bool {
+func setHost[T proto.Message](hosts map[string]T, name string, host T) bool {
 	if old, ok := hosts[name]; ok && proto.Equal(old, host) {
 		return false
 	}
 	hosts[name] = host
-	changeVersions.hosts = version
 	return true
 }
 
+// maxLeftEntryHosts is the number of entry hosts that have left up to which views get single changes instead of the whole list.
+const maxLeftEntryHosts = 256
+
+// setEntryHostVersion records that an entry host has joined, changed or left.
+func (s *State) setEntryHostVersion(name string, version uint64) {
+	s.changeVersions.entryHosts[name] = version
+	if len(s.changeVersions.entryHosts) <= len(s.entryHosts)+maxLeftEntryHosts {
+		return
+	}
+	maps.DeleteFunc(s.changeVersions.entryHosts, func(name string, _ uint64) bool { return s.entryHosts[name] == nil })
+	s.changeVersions.entryHostsReset = version
+}
+
+// setRangeVersions records that key ranges have changed.
+func (s *State) setRangeVersions(service string, version uint64, ranges ...*schemav1.KeyRange) {
+	if s.changeVersions.ranges[service] == nil {
+		s.changeVersions.ranges[service] = map[uint32]uint64{}
+	}
+	for _, r := range ranges {
+		s.changeVersions.ranges[service][r.GetFirst()] = version
+	}
+}
+
 func (s *State) applyRoutes(routes *schemav1.RouteDocument, version uint64) bool {
 	if routes.GetRevision() <= s.routes.GetRevision() {
 		return false
@@ -240,7 +276,7 @@
 		r.Fence = s.lastFence
 	}
 	s.keyTables[table.GetService()] = next
-	s.changeVersions.keyTables[table.GetService()] = version
+	s.setRangeVersions(table.GetService(), version, next.GetRanges()...)
 	return true
 }
 
@@ -268,7 +304,7 @@
 	if !s.setRange(change) {
 		return false
 	}
-	s.changeVersions.keyTables[change.GetService()] = version
+	s.setRangeVersions(change.GetService(), version, change.GetRange())
 	return true
 }
 
@@ -308,7 +344,7 @@
 	}
 	ranges := slices.Replace(slices.Clone(table.GetRanges()), at, at+1, parts...)
 	s.keyTables[split.GetService()] = &schemav1.KeyTable{Service: table.GetService(), Ranges: ranges}
-	s.changeVersions.keyTables[split.GetService()] = version
+	s.setRangeVersions(split.GetService(), version, parts...)
 	return true
 }
 
@@ -344,13 +380,13 @@
 	}
 	for _, table := range state.GetKeys() {
 		fresh.keyTables[table.GetService()] = table
-		fresh.changeVersions.keyTables[table.GetService()] = version
+		fresh.setRangeVersions(table.GetService(), version, table.GetRanges()...)
 	}
 	for _, target := range state.GetTargets() {
 		fresh.setTarget(target, version)
 	}
-	fresh.changeVersions.routes, fresh.changeVersions.evacuated, fresh.changeVersions.hosts, fresh.changeVersions.targetRemoved =
-		version, version, version, version
+	fresh.changeVersions.routes, fresh.changeVersions.evacuated, fresh.changeVersions.registryHosts = version, version, version
+	fresh.changeVersions.targetRemoved, fresh.changeVersions.entryHostsReset = version, version
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version, s.lastFence, s.routes, s.targets, s.evacuations =
@@ -466,7 +502,7 @@
 func (s *State) UpdateSince(version uint64) *schemav1.ViewUpdate {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	full := version == 0 || version > s.version || s.changeVersions.targetRemoved > version
+	full := version == 0 || version > s.version || s.changeVersions.targetRemoved > version || s.changeVersions.entryHostsReset > version
 	update := &schemav1.ViewUpdate{Version: s.version, Full: full}
 	if full || s.changeVersions.routes > version {
 		update.Routes = s.routes
@@ -474,8 +510,11 @@
 	if full || s.changeVersions.evacuated > version {
 		update.EvacuatedChanged, update.Evacuated = true, s.evacuated()
 	}
-	if full || s.changeVersions.hosts > version {
-		update.HostsChanged, update.Entries, update.RegistryHosts = true, sortedByName(s.entryHosts), sortedByName(s.hosts)
+	if full || s.changeVersions.registryHosts > version {
+		update.HostsChanged, update.RegistryHosts = true, sortedByName(s.hosts)
+	}
+	if update.Entries = s.changedEntryHosts(version, full); len(update.Entries) > 0 {
+		update.HostsChanged = true
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		target := s.targets[id]
@@ -486,10 +525,46 @@
 			update.Targets = append(update.Targets, target)
 		}
 	}
-	for service, table := range s.keyTables {
-		if full || s.changeVersions.keyTables[service] > version {
-			update.Keys = append(update.Keys, table)
+	for _, service := range slices.Sorted(maps.Keys(s.keyTables)) {
+		if ranges := s.changedRanges(service, version, full); len(ranges) > 0 {
+			update.Keys = append(update.Keys, &schemav1.KeyTable{Service: service, Ranges: ranges})
 		}
 	}
 	return update
 }
+
+// changedRanges returns the key ranges of a service that changed after a version, or all of them.
+func (s *State) changedRanges(service string, version uint64, all bool) []*schemav1.KeyRange {
+	ranges := s.keyTables[service].GetRanges()
+	if all {
+		return ranges
+	}
+	versions := s.changeVersions.ranges[service]
+	var changed []*schemav1.KeyRange
+	for _, r := range ranges {
+		if versions[r.GetFirst()] > version {
+			changed = append(changed, r)
+		}
+	}
+	return changed
+}
+
+// changedEntryHosts returns the entry hosts that joined or changed after a version, and those that left since with only their name, or
+// all of them.
+func (s *State) changedEntryHosts(version uint64, all bool) []*schemav1.EntryHost {
+	if all {
+		return sortedByName(s.entryHosts)
+	}
+	var changed []*schemav1.EntryHost
+	for _, name := range slices.Sorted(maps.Keys(s.changeVersions.entryHosts)) {
+		if s.changeVersions.entryHosts[name] <= version {
+			continue
+		}
+		if host := s.entryHosts[name]; host != nil {
+			changed = append(changed, host)
+		} else {
+			changed = append(changed, &schemav1.EntryHost{Name: name})
+		}
+	}
+	return changed
+}
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -39,8 +39,12 @@
 		{Range: &schemav1.RangeChange{Service: "s", ExpectedFence: 1}},
 		{Range: &schemav1.RangeChange{Service: "s", ExpectedFence: 1, Range: &schemav1.KeyRange{Last: 65535, Owner: "u"}}},
 		{Split: &schemav1.RangeSplit{Service: "s", ExpectedFence: 1, Starts: []uint32{7, 5, 1 << 31}}},
-		{Routes: &schemav1.RouteDocument{Revision: 3}}, {Evacuation: &schemav1.EvacuationChange{DataCentre: "d", Out: true}},
-		{EntryJoined: &schemav1.EntryHost{}}, {RegistryHost: &schemav1.RegistryHost{}}, {EntryLeft: "e"}, {},
+		{Routes: &schemav1.RouteDocument{Revision: 3}},
+		{Evacuation: &schemav1.EvacuationChange{DataCentre: "d", Out: true}},
+		{EntryJoined: &schemav1.EntryHost{}},
+		{RegistryHost: &schemav1.RegistryHost{}},
+		{EntryLeft: "e"},
+		{},
 	}
 	for _, c := range commands {
 		encoded, err := proto.Marshal(c)
@@ -81,6 +85,37 @@
 	})
 }
 
+var _ = Describe("Updates of views", func() {
+	// Guards against updates whose size grows with the deployment: on thin links they delay the answers of callers.
+	It("have only the key ranges and entry hosts that changed (sbfa-fitting-large)", func() {
+		apply := func(s *State, c *schemav1.RegistryCommand) {
+			encoded, err := proto.Marshal(c)
+			Expect(err).NotTo(HaveOccurred())
+			s.Apply(0, encoded)
+		}
+		s := NewState()
+		table := &schemav1.KeyTable{Service: "files"}
+		for i := range uint32(150) {
+			table.Ranges = append(table.Ranges, &schemav1.KeyRange{First: i * 400, Last: i*400 + 399, Owner: fmt.Sprint("i-0123456789", i)})
+		}
+		apply(s, &schemav1.RegistryCommand{Keys: table})
+		for i := range 184 {
+			apply(s, &schemav1.RegistryCommand{EntryJoined: &schemav1.EntryHost{Name: fmt.Sprint("e", i), DataCentre: "d", LoadAddress: "10.0.0.1:7000"}})
+		}
+		before := s.Version()
+		moved := proto.Clone(s.Keys("files").GetRanges()[7]).(*schemav1.KeyRange)
+		fence := moved.GetFence()
+		moved.Owner, moved.Fence = "i-other", 0
+		apply(s, &schemav1.RegistryCommand{Range: &schemav1.RangeChange{Service: "files", ExpectedFence: fence, Range: moved}})
+		apply(s, &schemav1.RegistryCommand{EntryLeft: "e9"})
+		update := s.UpdateSince(before)
+		Expect(update.GetKeys()).To(HaveLen(1))
+		Expect(update.GetKeys()[0].GetRanges()).To(HaveLen(1))
+		Expect(update.GetEntries()).To(HaveLen(1))
+		Expect(proto.Size(update)).To(BeNumerically("<", 100))
+	})
+})
+
 var _ = Describe("State after many ends", func() {
 	// Guards against members that forget different ended targets, so that a late announcement registers one again on some of them.
 	It("forgets the same ended targets on a restored member", func() {
@@ -205,7 +240,7 @@
 		}
 	}
 	for _, k := range u.GetKeys() {
-		v.keys[k.GetService()] = k
+		v.keys[k.GetService()] = &schemav1.KeyTable{Service: k.GetService(), Ranges: MergeRanges(v.keys[k.GetService()].GetRanges(), k.GetRanges())}
 	}
 	if v.merged == nil {
 		v.merged = &schemav1.ViewUpdate{}
@@ -216,8 +251,12 @@
 	if u.GetEvacuatedChanged() {
 		v.merged.Evacuated = u.GetEvacuated()
 	}
-	if u.GetHostsChanged() {
-		v.merged.Entries, v.merged.RegistryHosts = u.GetEntries(), u.GetRegistryHosts()
+	if u.GetFull() {
+		v.merged.Entries = nil
+	}
+	v.merged.Entries = MergeEntryHosts(v.merged.Entries, u.GetEntries())
+	if len(u.GetRegistryHosts()) > 0 {
+		v.merged.RegistryHosts = u.GetRegistryHosts()
 	}
 	v.version = u.GetVersion()
 }
@@ -237,7 +276,7 @@
 	case 2:
 		return &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{DataCentre: name("dc"), Out: rapid.Bool().Draw(t, "out")}}
 	case 3:
-		return &schemav1.RegistryCommand{EntryJoined: &schemav1.EntryHost{Name: name("e"), LoadAddress: name("l")}}
+		return &schemav1.RegistryCommand{EntryJoined: &schemav1.EntryHost{Name: name("e"), DataCentre: "d", LoadAddress: name("l")}}
 	case 4:
 		return &schemav1.RegistryCommand{EntryLeft: name("e")}
 	case 5:
--- a/pkg/target/shardgrants.go
+++ b/pkg/target/shardgrants.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -190,23 +191,12 @@
 		if expired {
 			return true
 		}
-		if !sleep(ctx, revokeInterval) {
+		if !monotonic.Sleep(ctx, revokeInterval) {
 			return false
 		}
 	}
 }
 
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // unconfirmedReleases returns the shards whose release was reported but does not show in the ownership table yet.
 func (a *AttachedTarget) unconfirmedReleases() []*schemav1.ShardRecord {
 	a.mu.Lock()
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -120,6 +120,9 @@
 	c.Close()
 }
 
+// unlimitHead ends the limit on the header after one that was read completely.
+func (c *conn) unlimitHead() { _, _ = c.head.End() }
+
 // Request is one request to one target.
 type Request struct {
 	// PoolKey names the pool of idle connections; only requests with the same key share connections.
@@ -357,14 +360,14 @@
 		}
 		got := response.Header.Get(c.options.IDHeader)
 		if c.options.IDHeader == "" || r.ID == "" || got == r.ID {
-			cn.head.End()
+			cn.unlimitHead()
 			return response, 0, nil
 		}
 		skipped++
 		if skipped > maxStaleResponses || response.ContentLength < 0 || response.ContentLength > maxStaleBody {
 			return nil, InvalidResponse, &RequestIDMismatchError{Want: r.ID, Got: got}
 		}
-		cn.head.End()
+		cn.unlimitHead()
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, InvalidResponse, err
 		}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -221,7 +222,9 @@
 			_, err := sendAndRead(c, newRequest(address, "1"))
 			Expect(time.Since(began)).To(BeNumerically("<", time.Second), "not only at the deadline")
 			Expect(err).To(HaveField("Stage", InvalidResponse))
-			Expect(err.(*Error).Cause).To(cause)
+			var failed *Error
+			Expect(errors.As(err, &failed)).To(BeTrue())
+			Expect(failed.Cause).To(cause)
 			// The rest fills the buffers of the two sockets.
 			Eventually(sent).Should(Receive(BeNumerically("<", 16<<20)))
 		},
--- a/pkg/wal/log.go
+++ b/pkg/wal/log.go
@@ -323,7 +323,7 @@
 		l.batch++
 	}
 	l.activeSize = size
-	l.segments = append(kept, segment{sequence: sequence, maxIndex: lastIndex(entries)})
+	l.segments = append(append([]segment(nil), kept...), segment{sequence: sequence, maxIndex: lastIndex(entries)})
 	return nil
 }
 
