--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -185,6 +185,7 @@
 func (d *Dispatcher) setPreferred() {
 	offset := TargetHash(d.options.DataCentre) + uint32(d.hostIndex)
 	for _, s := range d.services {
+		s.typical.inUse = d.hostCount >= manyHosts
 		otherRegion := 0
 		for _, t := range s.targets {
 			if t.Region != d.options.Region {
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -348,6 +348,7 @@
 
 	It("are taken for as loaded as the others, until they report (unit)", func() {
 		d := newDispatcher("n")
+		d.SetEntryHosts(manyHosts, 4, 0)
 		d.SetTargets(0, []Target{newTarget("known", "n", "east"), newTarget("unknown", "n", "east")})
 		request := lookupRequest()
 		request.ExcludedTargets = []string{"unknown"}
@@ -357,6 +358,8 @@
 		Expect(unknown.expectedLoad(100 * ms)).To(BeNumerically("~", 4, 0.1))
 		Expect(unknown.slowdownAt(100 * ms)).To(BeNumerically("~", 2, 0.5))
 		Expect(d.targets["known"].expectedLoad(time.Minute)).To(BeNumerically("~", 4, 0.1), "an old report says no more than the usual load")
+		d.SetEntryHosts(manyHosts-1, 4, 0)
+		Expect(unknown.expectedLoad(100*ms)).To(BeZero(), "with few entry hosts the reports of peers cover all targets")
 	})
 })
 
--- a/pkg/dispatch/targetload.go
+++ b/pkg/dispatch/targetload.go
@@ -64,12 +64,15 @@
 	// slowdown is the product of the reported slowdown and the correction.
 	slowdown float64
 	known    bool
+	// inUse is set in deployments with many entry hosts. With few, each host learns the load of all targets from its peers and from the
+	// responses, and an average would only hide the idle ones.
+	inUse bool
 }
 
 // record adds the report of a target.
 func (y *typical) record(load, slowdown float64) {
 	if !y.known {
-		*y = typical{load: load, slowdown: slowdown, known: true}
+		y.load, y.slowdown, y.known = load, slowdown, true
 		return
 	}
 	y.load += (load - y.load) * typicalWeight
@@ -98,7 +101,7 @@
 	case t.isOwner:
 		// All hosts send requests to an owner, but each of them rarely, so the last report is usually old.
 		otherLoad *= math.Exp(-float64(now-t.otherLoad.updatedAt) / float64(ownerLoadDecayTime))
-	case t.typical.known:
+	case t.typical.inUse && t.typical.known:
 		expected := max(0, t.typical.load*float64(t.Slots)-known)
 		otherLoad = expected + (otherLoad-expected)*t.reportWeight(now)
 	}
@@ -115,7 +118,7 @@
 
 // slowdownAt returns the expected processing time at the target relative to the base duration.
 func (t *target) slowdownAt(now time.Duration) float64 {
-	if !t.hasReport && t.observations == 0 && t.typical.known {
+	if !t.hasReport && t.observations == 0 && t.typical.inUse && t.typical.known {
 		return min(max(t.typical.slowdown, minSlowdown), maxSlowdown)
 	}
 	return min(max(t.slowdownCorrection*t.reportedSlowdown.estimate(now, slowdownDecayTime, defaultSlowdown), minSlowdown), maxSlowdown)
--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -84,6 +84,14 @@
 	if last != nil {
 		<-last.done
 	}
+	c.mu.Lock()
+	idle := c.closingIdle
+	c.mu.Unlock()
+	if idle {
+		// A request that crosses the close must not be read, because it cannot be answered any more; the reset tells the caller so.
+		c.raw.Close()
+		return
+	}
 	c.closeGracefully()
 }
 
@@ -348,9 +356,6 @@
 	if abandoned {
 		c.cancel()
 	}
-	if c.server.isDraining() {
-		c.closeIfIdle(true)
-	}
 	x.previous.Store(nil)
 	close(x.done)
 }
--- a/pkg/httpserver/server.go
+++ b/pkg/httpserver/server.go
@@ -136,16 +136,12 @@
 	return s.draining
 }
 
-// Drain closes idle connections, and the others after the responses to the requests that have been read. New connections are still
-// accepted, for one request each.
+// Drain closes each connection after the responses to the requests that have been read. Idle connections stay open for one more
+// request, which may be on its way, until Shutdown. New connections are still accepted, for one request each.
 func (s *Server) Drain() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.draining = true
-	conns := s.snapshot()
-	s.mu.Unlock()
-	for _, c := range conns {
-		c.closeIfIdle(true)
-	}
 }
 
 // snapshot returns the open connections. s.mu must be held.
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -161,6 +161,36 @@
 		c.expectEnd()
 	})
 
+	It("serves one more request of an idle connection while it drains (LOST on sbfa-fitting-grown scale-2)", func() {
+		s, address := startServer(h, nil)
+		c := connect(address)
+		c.send(get("/1"))
+		_, _, _ = c.receive()
+		s.Drain()
+		time.Sleep(50 * time.Millisecond)
+		c.send(get("/2"))
+		_, body, closes := c.receive()
+		Expect(body).To(Equal("/2"))
+		Expect(closes).To(BeTrue())
+		c.expectEnd()
+	})
+
+	It("does not read a request that crosses the close of an idle connection, so that the caller is told by a reset", func() {
+		s, address := startServer(h, nil)
+		c := connect(address)
+		c.send(get("/1"))
+		_, _, _ = c.receive()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Expect(s.Shutdown(ctx)).To(Succeed())
+		// The write succeeds, because the caller has not seen the close yet.
+		_, _ = io.WriteString(c, get("/2"))
+		time.Sleep(50 * time.Millisecond)
+		_, err := io.WriteString(c, get("/3"))
+		Expect(err).To(HaveOccurred())
+		Expect(h.started.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("cancels all requests of a caller that leaves while further requests are waiting (give_up)", func() {
 		_, address := startServer(h, func(o *Options) { o.MaxPipelined = 2 })
 		c := connect(address)
