--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -310,7 +310,7 @@
 			reason = mostPromising(reason, excluded)
 			continue
 		}
-		expected := t.predictLatency(now, base)
+		expected := t.predictLatency(now, base, t.expectedLoad(now))
 		cost := d.distanceCost(t, r.LargeResponse, base)
 		score := float64(expected+cost) + t.currentFailureRate(now)*float64(failurePenalty)
 		score *= 1 + scoreJitter*d.options.Rand()
@@ -326,7 +326,7 @@
 	}
 	choice := &Choice{
 		Target: best.Target, ExpectedLatency: bestLatency, BaseDuration: base, InFlight: int(math.Round(best.expectedLoad(now))), ReportAge: -1,
-		target: best, base: base, route: r.Route, requestsAhead: best.requestsAhead(now), slowdown: best.slowdownAt(now),
+		target: best, base: base, route: r.Route, requestsAhead: best.requestsAhead(best.expectedLoad(now)), slowdown: best.slowdownAt(now),
 	}
 	if best.hasReport {
 		choice.ReportAge = now - best.reportAt
@@ -347,6 +347,7 @@
 
 // exclusionReason returns why a target must not be chosen for a request, or "" if it may.
 func (d *Dispatcher) exclusionReason(now time.Duration, s *service, t *target, r *Request, base time.Duration) Reason {
+	load := t.reportedLoad(now)
 	switch {
 	case r.Owner != "" && t.ID != r.Owner,
 		t.Draining || d.evacuated[t.DataCentre],
@@ -360,11 +361,11 @@
 		return ReasonColdOnly
 	case t.Cold && !t.cold.ready(now, d.coldRateShare(s, r.Owner != ""), d.options.Rand):
 		return ReasonColdOnly
-	case r.RequireFreeSlot && (t.Cold || t.requestsAhead(now) > maxAheadForFreeSlot):
+	case r.RequireFreeSlot && (t.Cold || t.requestsAhead(load) > maxAheadForFreeSlot):
 		return ReasonBusy
-	case t.expectedLoad(now) >= float64(t.Slots+queueLimit(r)):
+	case load >= float64(t.Slots+queueLimit(r)):
 		return ReasonBusy
-	case t.requestsAhead(now) > 0 && t.predictLatency(now, base) > r.maxUsefulLatency():
+	case t.requestsAhead(load) > 0 && t.predictLatency(now, base, load) > r.maxUsefulLatency():
 		return ReasonLate
 	}
 	return ""
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -120,15 +120,15 @@
 	cold               coldTokens
 }
 
-// predictLatency returns the expected time from sending a request now to its response, for a route with the given base duration.
-func (t *target) predictLatency(now, base time.Duration) time.Duration {
-	return time.Duration(float64(base) * t.slowdownAt(now) * (1 + t.requestsAhead(now)/float64(t.Slots)))
+// predictLatency returns the expected time from sending a request now to its response, for a route with the given base duration and
+// with load requests at the target.
+func (t *target) predictLatency(now, base time.Duration, load float64) time.Duration {
+	return time.Duration(float64(base) * t.slowdownAt(now) * (1 + t.requestsAhead(load)/float64(t.Slots)))
 }
 
-// requestsAhead returns the expected number of requests that must end before the processing of one that is sent now begins.
-func (t *target) requestsAhead(now time.Duration) float64 {
-	return max(0, t.expectedLoad(now)+1-float64(t.Slots))
-}
+// requestsAhead returns the number of requests that must end before the processing of one that is sent now begins, with load requests
+// at the target.
+func (t *target) requestsAhead(load float64) float64 { return max(0, load+1-float64(t.Slots)) }
 
 // updateSlowdown adds one observation to slowdownCorrection. relative is the processing time relative to the one expected from the base
 // duration and the reported slowdown.
--- a/pkg/dispatch/targetload.go
+++ b/pkg/dispatch/targetload.go
@@ -93,19 +93,26 @@
 	}
 }
 
-// expectedLoad returns the expected number of requests at the target: those of this host, those that peers reported, and those of
-// other hosts, which only the reports of the target show.
-func (t *target) expectedLoad(now time.Duration) float64 {
-	known, otherLoad := float64(t.ownInFlight+t.peerInFlight), t.otherLoad.estimate(now, otherLoadDecayTime, 0)
-	switch {
-	case t.isOwner:
+// reportedLoad returns the number of requests at the target as far as reports show it: those of this host, those that peers reported,
+// and those of other hosts, which only the reports of the target show.
+func (t *target) reportedLoad(now time.Duration) float64 {
+	otherLoad := t.otherLoad.estimate(now, otherLoadDecayTime, 0)
+	if t.isOwner {
 		// All hosts send requests to an owner, but each of them rarely, so the last report is usually old.
 		otherLoad *= math.Exp(-float64(now-t.otherLoad.updatedAt) / float64(ownerLoadDecayTime))
-	case t.typical.inUse && t.typical.known:
-		expected := max(0, t.typical.load*float64(t.Slots)-known)
-		otherLoad = expected + (otherLoad-expected)*t.reportWeight(now)
 	}
-	return known + otherLoad
+	return float64(t.ownInFlight+t.peerInFlight) + otherLoad
+}
+
+// expectedLoad returns the expected number of requests at the target, for the choice among targets. Where there are no recent reports
+// it rests on what is typical for the service, which is no reason to refuse a request.
+func (t *target) expectedLoad(now time.Duration) float64 {
+	reported := t.reportedLoad(now)
+	if t.isOwner || !t.typical.inUse || !t.typical.known {
+		return reported
+	}
+	expected := max(float64(t.ownInFlight+t.peerInFlight), t.typical.load*float64(t.Slots))
+	return expected + (reported-expected)*t.reportWeight(now)
 }
 
 // reportWeight returns the weight of the last load report relative to what is typical for the service.
