--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -52,7 +52,7 @@
 	awaitingRequest bool
 	// finalResponse is set once a response has announced that the connection closes after it; later requests are not handled.
 	finalResponse bool
-	// closingIdle is set while the connection is to be closed unless a request arrives at the same time.
+	// closingIdle is set while the connection is to be closed, because it is idle, unless a request arrives at the same time.
 	closingIdle bool
 	// stopReading is set once the final response has been written or the connection is broken.
 	stopReading bool
@@ -152,6 +152,7 @@
 		}
 		c.awaitingRequest = false
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+		c.closingIdle = timedOut && c.outstanding == 0 && !c.stopReading
 		c.mu.Unlock()
 		if !timedOut {
 			c.cancel()
@@ -236,7 +237,10 @@
 	var rejected *RequestError
 	if !errors.As(err, &rejected) || rejected.Status == 0 {
 		klog.V(1).InfoS("request not read", "caller", c.remote, "err", err)
-		c.cancel()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			// The caller has left. One that is only slow still gets the responses to its earlier requests.
+			c.cancel()
+		}
 		return
 	}
 	klog.InfoS("request rejected", "caller", c.remote, "status", rejected.Status, "err", err)
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -250,6 +250,17 @@
 		Expect(body).To(Equal("/2"))
 	})
 
+	It("responds to earlier requests after a later one has not arrived in time", func() {
+		_, address := startServer(h, func(o *Options) { o.ReadHeaderTimeout = 50 * time.Millisecond })
+		c := connect(address)
+		c.send(get("/slow/1") + "GET /2 HT")
+		time.Sleep(150 * time.Millisecond)
+		close(h.release)
+		_, body, _ := c.receive()
+		Expect(body).To(Equal("/slow/1"))
+		c.expectEnd()
+	})
+
 	It("closes the connection of a caller that does not read", func() {
 		large := bytes.Repeat([]byte("x"), 64<<20)
 		failed := make(chan error, 1)
