--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -185,10 +185,8 @@
 
 // addEntryHost starts to add an entry host to the registry, or to update it, if needed.
 func (r *Registrar) addEntryHost(entry *schemav1.EntryHost) {
-	for _, known := range r.state.EntryHosts() {
-		if known.GetName() == entry.GetName() && proto.Equal(known, entry) {
-			return
-		}
+	if known := r.state.EntryHost(entry.GetName()); known != nil && proto.Equal(known, entry) {
+		return
 	}
 	r.start("add entry host", func() {
 		if _, err := r.proposeWithRetry(r.ctx, &schemav1.RegistryCommand{EntryJoined: entry}); err != nil {
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -45,7 +45,10 @@
 // changeVersions has the version at which each part of the state last changed. UpdateSince uses it to select what to send.
 type changeVersions struct {
 	routes, evacuated, registryHosts uint64
-	targets                          map[string]uint64
+	// targets has the changes of targets in the order of their versions, except those up to targetsReset. A view older than that needs a
+	// full update. With thousands of targets and many views, looking at each target for each update would take the whole processor.
+	targets      []targetChange
+	targetsReset uint64
 	// ranges has the version of each key range by service and first key.
 	ranges map[string]map[uint32]uint64
 	// entryHosts has the version of each entry host, including those that have left since entryHostsReset. A view older than
@@ -57,12 +60,43 @@
 	targetRemoved uint64
 }
 
+// targetChange is the change of a target at a version.
+type targetChange struct {
+	version uint64
+	id      string
+}
+
+// maxTargetChanges is the number of changes of targets that are kept for updates of views. It covers a restart of all targets of a large
+// deployment several times.
+const maxTargetChanges = 32768
+
+// add records the change of a target.
+func (v *changeVersions) add(id string, version uint64) {
+	if len(v.targets) >= maxTargetChanges {
+		half := len(v.targets) / 2
+		v.targetsReset = v.targets[half-1].version
+		v.targets = slices.Clone(v.targets[half:])
+	}
+	v.targets = append(v.targets, targetChange{version, id})
+}
+
+// targetsSince returns the IDs of the targets that changed after a version, in ascending order.
+func (v *changeVersions) targetsSince(version uint64) []string {
+	first, _ := slices.BinarySearchFunc(v.targets, version+1, func(c targetChange, version uint64) int { return cmp.Compare(c.version, version) })
+	ids := make([]string, 0, len(v.targets)-first)
+	for _, c := range v.targets[first:] {
+		ids = append(ids, c.id)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // NewState returns the state of an empty registry.
 func NewState() *State {
 	return &State{
 		targets: map[string]*schemav1.Registration{}, evacuations: map[string]bool{}, keyTables: map[string]*schemav1.KeyTable{},
 		entryHosts: map[string]*schemav1.EntryHost{}, hosts: map[string]*schemav1.RegistryHost{}, changed: make(chan struct{}),
-		changeVersions: changeVersions{targets: map[string]uint64{}, ranges: map[string]map[uint32]uint64{}, entryHosts: map[string]uint64{}},
+		changeVersions: changeVersions{ranges: map[string]map[uint32]uint64{}, entryHosts: map[string]uint64{}},
 	}
 }
 
@@ -223,7 +257,7 @@
 
 func (s *State) setTarget(next *schemav1.Registration, version uint64) {
 	s.targets[next.GetId()] = next
-	s.changeVersions.targets[next.GetId()] = version
+	s.changeVersions.add(next.GetId(), version)
 	if next.GetLife() != schemav1.Life_LIFE_GONE {
 		return
 	}
@@ -233,7 +267,6 @@
 		s.endedTargets = s.endedTargets[1:]
 		if s.targets[oldest].GetLife() == schemav1.Life_LIFE_GONE {
 			delete(s.targets, oldest)
-			delete(s.changeVersions.targets, oldest)
 			s.changeVersions.targetRemoved = version
 		}
 	}
@@ -469,6 +502,13 @@
 	return live
 }
 
+// EntryHost returns the entry host with the given name, or nil.
+func (s *State) EntryHost(name string) *schemav1.EntryHost {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.entryHosts[name]
+}
+
 // IsEvacuated reports whether a data centre is evacuated.
 func (s *State) IsEvacuated(dataCentre string) bool {
 	s.mu.RLock()
@@ -483,13 +523,6 @@
 	return s.keyTables[service]
 }
 
-// EntryHosts returns the entry hosts in the order of their names.
-func (s *State) EntryHosts() []*schemav1.EntryHost {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return sortedByName(s.entryHosts)
-}
-
 // RegistryHosts returns the registry hosts in the order of their names.
 func (s *State) RegistryHosts() []*schemav1.RegistryHost {
 	s.mu.RLock()
@@ -502,7 +535,8 @@
 func (s *State) UpdateSince(version uint64) *schemav1.ViewUpdate {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	full := version == 0 || version > s.version || s.changeVersions.targetRemoved > version || s.changeVersions.entryHostsReset > version
+	full := version == 0 || version > s.version || s.changeVersions.targetRemoved > version ||
+		s.changeVersions.targetsReset > version || s.changeVersions.entryHostsReset > version
 	update := &schemav1.ViewUpdate{Version: s.version, Full: full}
 	if full || s.changeVersions.routes > version {
 		update.Routes = s.routes
@@ -516,13 +550,17 @@
 	if update.Entries = s.changedEntryHosts(version, full); len(update.Entries) > 0 {
 		update.HostsChanged = true
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
-		target := s.targets[id]
-		if full && target.GetLife() == schemav1.Life_LIFE_GONE {
-			continue
+	if full {
+		for _, target := range sortedByName(s.targets) {
+			if target.GetLife() != schemav1.Life_LIFE_GONE {
+				update.Targets = append(update.Targets, target)
+			}
 		}
-		if full || s.changeVersions.targets[id] > version {
-			update.Targets = append(update.Targets, target)
+	} else {
+		for _, id := range s.changeVersions.targetsSince(version) {
+			if target := s.targets[id]; target != nil {
+				update.Targets = append(update.Targets, target)
+			}
 		}
 	}
 	for _, service := range slices.Sorted(maps.Keys(s.keyTables)) {
