--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -382,11 +381,6 @@
 	c.raw.Close()
 }
 
-// logPanic logs a panic of a handler with its stack.
-func (c *conn) logPanic(x *exchange, reason any) {
-	klog.ErrorS(nil, "request handler panicked", "caller", c.remote, "method", x.request.Method, "reason", reason, "stack", string(debug.Stack()))
-}
-
 // writeChunk is the number of bytes that must be accepted by the caller within the write timeout.
 const writeChunk = 64 << 10
 
--- a/pkg/httpserver/exchange.go
+++ b/pkg/httpserver/exchange.go
@@ -84,24 +84,21 @@
 // handle calls the handler and ends the response. It returns true when the connection cannot be used any more.
 func (x *exchange) handle(request *http.Request) (unusable bool) {
 	defer func() {
-		reason := recover()
-		if reason == nil {
-			return
-		}
-		unusable = true
-		if guard.IsAbort(reason) {
-			return
-		}
-		x.conn.logPanic(x, reason)
-		if !x.wroteHeader {
-			x.header = http.Header{"Connection": {"close"}}
-			x.WriteHeader(http.StatusInternalServerError)
-			x.end()
+		if guard.IsAbort(recover()) {
+			unusable = true
 		}
 	}()
-	x.handler.ServeHTTP(x, request)
-	x.end()
-	return x.err != nil
+	err := guard.Run("request", func() error {
+		x.handler.ServeHTTP(x, request)
+		x.end()
+		return nil
+	})
+	if err != nil && !x.wroteHeader {
+		x.header = http.Header{"Connection": {"close"}}
+		x.WriteHeader(http.StatusInternalServerError)
+		x.end()
+	}
+	return err != nil || x.err != nil
 }
 
 // end completes the response after the handler has returned.
