--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -8,7 +8,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"almondrock.example/almondrock/pkg/dispatch"
-	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/metrics"
 )
 
@@ -20,9 +19,6 @@
 
 func newRequestMetrics(host, dataCentre string) *requestMetrics {
 	registry := metrics.New(host, dataCentre)
-	guard.OnPanic(func(task string) {
-		registry.Scope.Tagged(map[string]string{metrics.TagTask: task}).Counter(metrics.Panics).Inc(1)
-	})
 	return &requestMetrics{registry: registry, scope: registry.Scope}
 }
 
--- a/pkg/grants/manager.go
+++ b/pkg/grants/manager.go
@@ -209,7 +209,6 @@
 	if !ok {
 		inherited := inheritedRecord(r.GetFence(), now)
 		record = &inherited
-		record.nextCallAt = now
 		m.records[key] = record
 	}
 	if r.GetFence() < record.fence {
@@ -218,9 +217,9 @@
 	}
 	if r.GetFence() > record.fence {
 		// Another leader committed this fence and may have granted keys with it.
-		schedule := record.callSchedule
-		*record = inheritedRecord(r.GetFence(), now)
-		record.callInProgress, record.nextCallAt = schedule.callInProgress, now
+		inherited := inheritedRecord(r.GetFence(), now)
+		inherited.callInProgress = record.callInProgress
+		*record = inherited
 	}
 	if record.callInProgress || (dueOnly && now < record.nextCallAt) {
 		return nil
--- a/pkg/grants/record.go
+++ b/pkg/grants/record.go
@@ -42,8 +42,12 @@
 }
 
 // inheritedRecord returns the record of a range whose fence was committed by another leader, which may have granted the keys just before.
+// Its next call is due.
 func inheritedRecord(fence uint64, now time.Duration) grantRecord {
-	return grantRecord{fence: fence, phase: phaseInherited, expiresAt: now + maxGrantAge, unconfirmedUntil: now + maxGrantAge}
+	return grantRecord{
+		callSchedule: callSchedule{nextCallAt: now}, fence: fence, phase: phaseInherited, expiresAt: now + maxGrantAge,
+		unconfirmedUntil: now + maxGrantAge,
+	}
 }
 
 // isExpired reports whether the owner certainly does not hold the keys.
--- a/pkg/guard/guard.go
+++ b/pkg/guard/guard.go
@@ -12,6 +12,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
+
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 )
 
 // Pauses of Loop after a panic. They double with each one in a row, so that a panic that recurs does not take the whole processor.
@@ -85,10 +87,7 @@
 		if Run(task, func() error { f(); return nil }) == nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		monotonic.Sleep(ctx, pause)
 	}
 }
 
--- a/pkg/httpserver/exchange.go
+++ b/pkg/httpserver/exchange.go
@@ -148,6 +148,9 @@
 	x.err = x.writeHead()
 }
 
+// framingHeaders are the header fields that the server sets itself.
+var framingHeaders = map[string]bool{"Connection": true, "Transfer-Encoding": true}
+
 // writeHead writes the status line and the header fields.
 func (x *exchange) writeHead() error {
 	x.noBody = x.request.Method == http.MethodHead || x.status < http.StatusOK || x.status == http.StatusNoContent || x.status == http.StatusNotModified
@@ -171,7 +174,7 @@
 	if _, err := w.WriteString("HTTP/1.1 " + strconv.Itoa(x.status) + " " + http.StatusText(x.status) + "\r\n"); err != nil {
 		return err
 	}
-	if err := x.header.WriteSubset(w, map[string]bool{"Connection": true, "Transfer-Encoding": true}); err != nil {
+	if err := x.header.WriteSubset(w, framingHeaders); err != nil {
 		return err
 	}
 	rest := ""
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -11,6 +11,8 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"k8s.io/klog/v2"
+
+	"almondrock.example/almondrock/pkg/guard"
 )
 
 // Names of metrics, without the prefix almondrock_. The unit is part of the name.
@@ -72,7 +74,7 @@
 	closer  io.Closer
 }
 
-// New returns a registry whose metrics have the prefix almondrock_ and tags for the host and its data centre.
+// New returns a registry, which also counts contained panics, and whose metrics have the prefix almondrock_ and tags for the host and its data centre.
 func New(host, dataCentre string) *Registry {
 	// A separate Prometheus registry instead of the global one, so that several hosts can run in one process.
 	registry := client.NewRegistry()
@@ -89,6 +91,7 @@
 		OmitCardinalityMetrics: true,
 		Separator:              prometheus.DefaultSeparator,
 	}, reportInterval)
+	guard.OnPanic(func(task string) { scope.Tagged(map[string]string{TagTask: task}).Counter(Panics).Inc(1) })
 	return &Registry{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
 
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -126,9 +126,6 @@
 	if r.id, err = log.IdentityWithDefault(initialID); err != nil {
 		return nil, err
 	}
-	guard.OnPanic(func(task string) {
-		r.metrics.Scope.Tagged(map[string]string{metrics.TagTask: task}).Counter(metrics.Panics).Inc(1)
-	})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.registerHandlers()
 	return r, nil
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -88,11 +88,6 @@
 var _ = Describe("Updates of views", func() {
 	// Guards against updates whose size grows with the deployment: on thin links they delay the answers of callers.
 	It("have only the key ranges and entry hosts that changed (sbfa-fitting-large)", func() {
-		apply := func(s *State, c *schemav1.RegistryCommand) {
-			encoded, err := proto.Marshal(c)
-			Expect(err).NotTo(HaveOccurred())
-			s.Apply(0, encoded)
-		}
 		s := NewState()
 		table := &schemav1.KeyTable{Service: "files"}
 		for i := range uint32(150) {
@@ -119,11 +114,6 @@
 var _ = Describe("State after many ends", func() {
 	// Guards against members that forget different ended targets, so that a late announcement registers one again on some of them.
 	It("forgets the same ended targets on a restored member", func() {
-		apply := func(s *State, c *schemav1.RegistryCommand) {
-			encoded, err := proto.Marshal(c)
-			Expect(err).NotTo(HaveOccurred())
-			s.Apply(0, encoded)
-		}
 		end := func(s *State, i int) {
 			id := fmt.Sprint("t", i*7919%100003)
 			apply(s, &schemav1.RegistryCommand{Registration: &schemav1.Registration{Id: id, StartedUnixMs: 1, Address: id, Life: schemav1.Life_LIFE_READY}})
