--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -267,14 +267,8 @@
 	if !next.concurrent || !previous.concurrent {
 		return c.watchUntil(previous.done)
 	}
-	ahead := previous
-	for range c.server.options.MaxPipelined - 1 {
-		if ahead.previous.Load() == nil {
-			return true
-		}
-		ahead = ahead.previous.Load()
-	}
-	return c.watchUntil(ahead.done)
+	blocking := previous.ancestor(c.server.options.MaxPipelined - 1)
+	return blocking == nil || c.watchUntil(blocking.done)
 }
 
 // watchUntil waits until done is closed. Meanwhile it reads ahead into the buffer in order to notice when the caller closes the
--- a/pkg/httpserver/exchange.go
+++ b/pkg/httpserver/exchange.go
@@ -73,6 +73,15 @@
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
+// ancestor returns the exchange n places before x on the connection, or nil if the response of it or of one in between has been written.
+// Responses end concurrently, so each link is loaded once.
+func (x *exchange) ancestor(n int) *exchange {
+	for ; n > 0 && x != nil; n-- {
+		x = x.previous.Load()
+	}
+	return x
+}
+
 // run handles the request and completes the response.
 func (x *exchange) run() {
 	ctx, cancel := context.WithCancel(x.conn.ctx)
--- a/pkg/httpserver/server.go
+++ b/pkg/httpserver/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
+
+	"almondrock.example/almondrock/pkg/guard"
 )
 
 const (
@@ -113,7 +115,9 @@
 	s.conns[c] = struct{}{}
 	s.serving.Go(func() {
 		defer s.remove(c)
-		c.serve()
+		if guard.Run("connection", func() error { c.serve(); return nil }) != nil {
+			c.abort()
+		}
 	})
 }
 
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -488,3 +488,56 @@
 		}
 	})
 })
+
+var _ = Describe("conn", func() {
+	// Guards against a read of the same link twice, which ended the process when the response ended in between.
+	It("finds the exchange to wait for while the responses before it end", func() {
+		c := &conn{server: New(Options{MaxPipelined: 3})}
+		first := &exchange{concurrent: true, done: make(chan struct{})}
+		close(first.done)
+		second := &exchange{concurrent: true, done: make(chan struct{})}
+		next := &exchange{concurrent: true}
+		second.previous.Store(first)
+		third := &exchange{concurrent: true}
+		third.previous.Store(second)
+		stop := make(chan struct{})
+		var responses sync.WaitGroup
+		responses.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					third.previous.Store(nil)
+					third.previous.Store(second)
+				}
+			}
+		})
+		defer responses.Wait()
+		defer close(stop)
+		for range 500_000 {
+			if !c.awaitStart(next, third) {
+				Fail("the connection has not ended")
+			}
+		}
+	})
+
+	// Guards against a fault in the handling of one connection that ends the process.
+	It("keeps serving after a panic in the handling of a connection", func() {
+		h := &testHandler{release: make(chan struct{})}
+		s, address := startServer(h, nil)
+		broken, other := net.Pipe()
+		s.start(panickingConn{broken})
+		_, err := other.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+		c := connect(address)
+		c.send(get("/1"))
+		_, body, _ := c.receive()
+		Expect(body).To(Equal("/1"))
+	})
+})
+
+// panickingConn panics when its deadline is set.
+type panickingConn struct{ net.Conn }
+
+func (panickingConn) SetReadDeadline(time.Time) error { panic("unexpected state") }
