--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -18,6 +18,7 @@
 	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/httpserver"
 	"almondrock.example/almondrock/pkg/internal/monotonic"
+	"almondrock.example/almondrock/pkg/registry"
 	"almondrock.example/almondrock/pkg/routes"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -55,6 +56,8 @@
 	// CallerAddress accepts HTTP requests of callers, ReadinessAddress the readiness checks of the load balancer, and
 	// LoadReportAddress the load reports of other entry hosts (UDP).
 	CallerAddress, ReadinessAddress, LoadReportAddress string
+	// AnnounceAddress is the address at which targets reach Announce and RemoveTarget; empty if they do not.
+	AnnounceAddress string
 	// Seeds are the peer addresses of some registry hosts, at which the registry is first looked for.
 	Seeds    []string
 	Protocol Protocol
@@ -83,6 +86,9 @@
 	viewChanged    broadcaster
 	// confirmedAt is when the registry last confirmed that the view is current, as the time since the start of the host.
 	confirmedAt atomic.Int64
+	// registryAddress is the peer address of the registry host that last answered; nil before the first answer.
+	registryAddress atomic.Pointer[string]
+	announcements   registry.AnnouncementOrder
 	// loadChanged wakes the sender of load reports.
 	loadChanged    chan struct{}
 	shuttingDown   atomic.Bool
@@ -105,7 +111,7 @@
 	options.Dispatch.DataCentre, options.Dispatch.Region = options.DataCentre, options.Region
 	h := &Host{
 		options: options, started: time.Now(), dispatcher: dispatch.New(options.Dispatch),
-		self:           &schemav1.EntryHost{Name: options.Name, DataCentre: options.DataCentre, LoadAddress: options.LoadReportAddress},
+		self:           &schemav1.EntryHost{Name: options.Name, DataCentre: options.DataCentre, LoadAddress: options.LoadReportAddress, AnnounceAddress: options.AnnounceAddress},
 		upstream:       upstream.New(upstream.Options{IDHeader: options.Protocol.RequestIDHeader}),
 		registryClient: rpc.NewClient(rpc.ClientOptions{MaxConnections: 1, BackoffMax: maxDialBackOff}), splitter: routes.NewSplitter(),
 		loadChanged: make(chan struct{}, 1), requestMetrics: newRequestMetrics(options.Name, options.DataCentre), pacer: newPacer(options.LinkCapacity),
@@ -138,6 +144,9 @@
 
 func (h *Host) current() *view { return h.view.Load() }
 
+// viewAge is the time since the registry last confirmed that the view is current.
+func (h *Host) viewAge() time.Duration { return h.now() - time.Duration(h.confirmedAt.Load()) }
+
 // Start opens the listeners and starts the background tasks of the host.
 func (h *Host) Start() error {
 	load, err := net.ResolveUDPAddr("udp", h.options.LoadReportAddress)
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -60,7 +60,7 @@
 		klog.InfoS("request", "id", id, "result", result, "route", route.Name, "service", x.service, "target", x.target,
 			"sends", x.sends, "hedges", x.hedges, "unsent", x.unsent, "took", took,
 			"expected", x.lastChoice.ExpectedLatency, "inFlight", x.lastChoice.InFlight, "reportAge", x.lastChoice.ReportAge, "revision", v.table.Configuration.Revision,
-			"viewVersion", x.viewVersion, "viewAge", h.now()-time.Duration(h.confirmedAt.Load()))
+			"viewVersion", x.viewVersion, "viewAge", h.viewAge())
 	}()
 	result = x.run(r.Context())
 }
@@ -69,7 +69,7 @@
 // may have been added since.
 func (h *Host) refuseUnknownRoute(w http.ResponseWriter, id string, v *view) {
 	status, code := http.StatusNotFound, "no-route"
-	age := h.now() - time.Duration(h.confirmedAt.Load())
+	age := h.viewAge()
 	if age > maxConfirmationAge {
 		status, code = http.StatusServiceUnavailable, "configuration-outdated"
 		w.Header().Set("Retry-After", unconfiguredRetryAfter)
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -37,6 +37,9 @@
 		}
 		address := registryAddresses[index%len(registryAddresses)]
 		update, err := h.watch(ctx, address)
+		if err == nil {
+			h.registryAddress.Store(&address)
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -88,7 +88,7 @@
 	metrics       *metrics.Registry
 	watchers      watchers
 	keyLoads      keyLoads
-	announcements announcements
+	announcements registry.AnnouncementOrder
 	ctx           context.Context
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -27,6 +27,8 @@
 	methodKeyLoads = "Registry.KeyLoads"
 	// MethodWatch is the method by which entry hosts get updates of their view.
 	MethodWatch = "Registry.Watch"
+	// MethodAnnounce is the method by which entry hosts pass on announcements of targets.
+	MethodAnnounce = "Registry.Announce"
 )
 
 const (
@@ -34,8 +36,6 @@
 	watchTimeout = 400 * time.Millisecond
 	// watcherTimeout is how long after its last watch call an entry host stays in the registry.
 	watcherTimeout = 8 * time.Second
-	// maxAnnouncements is the number of targets whose last announcement is remembered. Beyond it, all are forgotten.
-	maxAnnouncements = 16384
 	// proposalTimeout is the timeout of a proposal or read with its retries. Callers use another host after a second.
 	proposalTimeout = 900 * time.Millisecond
 )
@@ -46,6 +46,7 @@
 	rpc.Register(r.server, methodJoin, r.handleJoin)
 	rpc.Register(r.server, methodKeyLoads, r.handleKeyLoads)
 	rpc.Register(r.server, MethodWatch, r.handleWatch)
+	rpc.Register(r.server, MethodAnnounce, r.handleAnnounce)
 	rpc.Register(r.server, member.MethodStep, r.handleStep)
 }
 
@@ -225,34 +226,6 @@
 // which callers use another host.
 var proposalBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 10)
 
-// announcements remembers the last announcement of each target, to detect those that arrive out of order.
-type announcements struct {
-	mu   sync.Mutex
-	last map[string]announcement
-}
-
-// announcement has the start time and sequence number of an announcement.
-type announcement struct {
-	started  int64
-	sequence uint64
-}
-
-// isOutdated reports whether an announcement of the same start with a higher sequence number has arrived before. Otherwise it remembers
-// this one.
-func (a *announcements) isOutdated(target *schemav1.Registration, sequence uint64) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.last == nil || len(a.last) > maxAnnouncements {
-		a.last = map[string]announcement{}
-	}
-	last, ok := a.last[target.GetId()]
-	if ok && last.started == target.GetStartedUnixMs() && sequence < last.sequence {
-		return true
-	}
-	a.last[target.GetId()] = announcement{target.GetStartedUnixMs(), sequence}
-	return false
-}
-
 // Announce processes an announcement of a target. After it has returned without an error, the announced life of the target applies on
 // all hosts. next is the address to which the target should send later announcements, or empty.
 func (r *Registrar) Announce(ctx context.Context, target *schemav1.Registration, sequence uint64) (next string, err error) {
@@ -264,7 +237,7 @@
 		return "", merry.Wrap(ErrUnknownService)
 	}
 	known, _ := r.state.Target(target.GetId())
-	outdated := r.announcements.isOutdated(target, sequence)
+	outdated := r.announcements.IsOutdated(target, sequence)
 	if !outdated && registry.Supersedes(known, target) {
 		result, err := r.proposeWithRetry(ctx, &schemav1.RegistryCommand{Registration: target})
 		if err != nil {
@@ -275,21 +248,36 @@
 			"started", target.GetStartedUnixMs(), "life", target.GetLife(), "cold", target.GetCold(), "sequence", sequence,
 			"applied", result.GetApplied())
 	}
-	return r.nextAnnounceAddress(target.GetDataCentre()), nil
+	return r.nextAnnounceAddress(target), nil
 }
 
-// nextAnnounceAddress returns the announce address of a registry host in a data centre. It returns an empty string if this host is in
-// that data centre, if it has not joined the group yet, or if there is no such host.
-func (r *Registrar) nextAnnounceAddress(dataCentre string) string {
-	if dataCentre == r.options.DataCentre {
+// handleAnnounce processes an announcement or a removal that an entry host passes on.
+func (r *Registrar) handleAnnounce(ctx context.Context, request *schemav1.TargetAnnouncement) (*schemav1.TargetAnnouncementAnswer, error) {
+	target := request.GetRegistration()
+	if request.GetRemoved() {
+		return &schemav1.TargetAnnouncementAnswer{}, r.RemoveTarget(ctx, target.GetId(), target.GetStartedUnixMs())
+	}
+	_, err := r.Announce(ctx, target, request.GetSequence())
+	return &schemav1.TargetAnnouncementAnswer{}, err
+}
+
+// nextAnnounceAddress returns the address to which a target should send its next announcement: an entry host of its data centre if the
+// registry hosts have too many targets to hear all of them themselves, or else a registry host there. It returns an empty string if that
+// is this host, if it has not joined the group yet, or if there is no such host.
+func (r *Registrar) nextAnnounceAddress(target *schemav1.Registration) string {
+	if r.currentReplica() == nil {
 		return ""
 	}
-	replica := r.currentReplica()
-	if replica == nil {
+	if r.state.NeedsRelays() {
+		if relay := r.state.Relay(target); relay != nil {
+			return relay.GetAnnounceAddress()
+		}
+	}
+	if target.GetDataCentre() == r.options.DataCentre {
 		return ""
 	}
 	for _, host := range r.state.RegistryHosts() {
-		if host.GetDataCentre() == dataCentre {
+		if host.GetDataCentre() == target.GetDataCentre() {
 			return host.GetAnnounceAddress()
 		}
 	}
--- /dev/null
+++ b/pkg/registry/announcement_test.go
@@ -0,0 +1,63 @@
+package registry
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+var _ = Describe("Announcements", func() {
+	It("are outdated when a later one of the same start of the target has arrived", func() {
+		order := &AnnouncementOrder{}
+		target := registration("t", 1, schemav1.Life_LIFE_READY)
+		Expect(order.IsOutdated(target, 5)).To(BeFalse())
+		Expect(order.IsOutdated(target, 4)).To(BeTrue())
+		Expect(order.IsOutdated(target, 5)).To(BeFalse())
+		Expect(order.IsOutdated(registration("t", 2, schemav1.Life_LIFE_READY), 1)).To(BeFalse())
+	})
+
+	// Guards against registry hosts that spend their processor time on announcements (sweep at 300 hosts: 3,000 targets, 4 registry hosts).
+	It("are taken by the entry hosts of the target's data centre where there are many targets for each registry host", func() {
+		s := NewState()
+		for _, dataCentre := range []string{"n", "s"} {
+			apply(s, &schemav1.RegistryCommand{RegistryHost: &schemav1.RegistryHost{Name: "registry-" + dataCentre, DataCentre: dataCentre}})
+			for i := range 10 {
+				apply(s, &schemav1.RegistryCommand{EntryJoined: &schemav1.EntryHost{
+					Name: fmt.Sprint(dataCentre, i), DataCentre: dataCentre, AnnounceAddress: fmt.Sprintf("10.0.0.%d:1", i),
+				}})
+			}
+		}
+		targets := make([]*schemav1.Registration, 0, 3*maxTargetsPerRegistryHost)
+		for i := range 3 * maxTargetsPerRegistryHost {
+			Expect(s.NeedsRelays()).To(Equal(i > 2*maxTargetsPerRegistryHost))
+			target := registration(fmt.Sprint("t", i), 1, schemav1.Life_LIFE_READY)
+			target.Address, target.DataCentre = fmt.Sprint("10.0.1.1:", i), "s"
+			Expect(announce(s, target)).To(BeTrue())
+			targets = append(targets, target)
+		}
+		before := map[string]string{}
+		share := map[string]int{}
+		for _, target := range targets {
+			relay := s.Relay(target)
+			Expect(relay.GetDataCentre()).To(Equal("s"))
+			before[target.GetId()] = relay.GetName()
+			share[relay.GetName()]++
+		}
+		Expect(share).To(HaveLen(10))
+		for name, count := range share {
+			Expect(count).To(BeNumerically("<", 2*len(targets)/10), name)
+		}
+		apply(s, &schemav1.RegistryCommand{EntryLeft: "s3"})
+		for _, target := range targets {
+			if before[target.GetId()] != "s3" {
+				Expect(s.Relay(target).GetName()).To(Equal(before[target.GetId()]))
+			} else {
+				Expect(s.Relay(target).GetName()).NotTo(Equal("s3"))
+			}
+		}
+		Expect(s.Relay(&schemav1.Registration{Id: "t", DataCentre: "elsewhere"})).To(BeNil())
+	})
+})
