--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/raft"
@@ -34,6 +35,10 @@
 const (
 	// watchTimeout is how long a watch call waits for a change.
 	watchTimeout = 400 * time.Millisecond
+	// updateIntervalPerWatcher bounds the updates of all entry hosts of this host to 500 a second, which take about 15 % of a core.
+	updateIntervalPerWatcher = 2 * time.Millisecond
+	// maxUpdateInterval is far below the times within which a change must be in force on all hosts.
+	maxUpdateInterval = 400 * time.Millisecond
 	// watcherTimeout is how long after its last watch call an entry host stays in the registry.
 	watcherTimeout = 8 * time.Second
 	// proposalTimeout is the timeout of a proposal or read with its retries. Callers use another host after a second.
@@ -106,20 +111,48 @@
 	return &schemav1.MemberJoinAnswer{Added: true}, nil
 }
 
-// watchers has the entry hosts that watch the registry through this host.
+// watchers has the entry hosts that watch the registry through this host. The zero value is ready for use.
 type watchers struct {
-	mu sync.Mutex
-	// seen has the time of the last watch call by the name of the entry host.
-	seen map[string]time.Time
+	mu     sync.Mutex
+	byName map[string]*watcher
+}
+
+// watcher is an entry host that watches the registry.
+type watcher struct {
+	// seenAt is the time of its last watch call, updatedAt that of the last update that it got.
+	seenAt, updatedAt time.Time
 }
 
 func (w *watchers) markSeen(name string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.seen == nil {
-		w.seen = map[string]time.Time{}
+	if w.byName == nil {
+		w.byName = map[string]*watcher{}
+	}
+	if w.byName[name] == nil {
+		w.byName[name] = &watcher{}
 	}
-	w.seen[name] = time.Now()
+	w.byName[name].seenAt = time.Now()
+}
+
+// reserveUpdate returns how long to wait before the next update is sent to an entry host, and counts it as sent then.
+func (w *watchers) reserveUpdate(name string, now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known := w.byName[name]
+	if known == nil {
+		return 0
+	}
+	pause := max(0, known.updatedAt.Add(updateInterval(len(w.byName))).Sub(now))
+	known.updatedAt = now.Add(pause)
+	return pause
+}
+
+// updateInterval returns the minimum time between two updates for the same entry host, of which this host serves count. Changes in
+// between are sent together, because in a restart of thousands of targets a separate update for each change and entry host would take
+// more than the whole processor.
+func updateInterval(count int) time.Duration {
+	return min(time.Duration(count)*updateIntervalPerWatcher, maxUpdateInterval)
 }
 
 // removeSilent removes and returns the entry hosts whose last call is more than watcherTimeout ago.
@@ -127,10 +160,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var names []string
-	for name, at := range w.seen {
-		if time.Since(at) > watcherTimeout {
+	for name, known := range w.byName {
+		if time.Since(known.seenAt) > watcherTimeout {
 			names = append(names, name)
-			delete(w.seen, name)
+			delete(w.byName, name)
 		}
 	}
 	return names
@@ -169,6 +202,9 @@
 		}
 		break
 	}
+	if r.state.Version() > request.GetVersion() {
+		monotonic.Sleep(ctx, r.watchers.reserveUpdate(request.GetEntry().GetName(), time.Now()))
+	}
 	replica := r.currentReplica()
 	upToDate := replica != nil && r.isUpToDate(replica.Status())
 	if r.state.Version() <= request.GetVersion() {
