--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -14,8 +14,10 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"almondrock.example/almondrock/pkg/dispatch"
+	"almondrock.example/almondrock/pkg/registry"
 	"almondrock.example/almondrock/pkg/routes"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -161,6 +163,35 @@
 		Expect(status).To(Equal(http.StatusServiceUnavailable), "a known route is served, here without targets")
 	})
 
+	It("takes a packed view with the changes since, and keeps its view when that cannot be decoded", func() {
+		h := startHost()
+		state, views := registry.NewState(), &registry.FullViews{}
+		command := func(c *schemav1.RegistryCommand) {
+			encoded, err := proto.Marshal(c)
+			Expect(err).NotTo(HaveOccurred())
+			state.Apply(0, encoded)
+		}
+		command(&schemav1.RegistryCommand{Routes: &schemav1.RouteDocument{Revision: 1}})
+		command(&schemav1.RegistryCommand{EntryJoined: h.self})
+		for i := range 1000 {
+			command(&schemav1.RegistryCommand{Registration: &schemav1.Registration{
+				Id: strconv.Itoa(i), Address: fmt.Sprint("10.0.0.1:", i), StartedUnixMs: 1, Service: "desk", Life: schemav1.Life_LIFE_READY,
+			}})
+		}
+		views.UpdateSince(state, 0)
+		command(&schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: "7"}})
+		packed := views.UpdateSince(state, 0)
+		Expect(packed.GetBase()).NotTo(BeEmpty())
+		h.applyUpdate(packed, true)
+		Expect(h.current().version).To(Equal(state.Version()))
+		Expect(h.current().targets).To(HaveLen(999))
+		Expect(h.current().entryHosts).To(HaveLen(1))
+		Expect(h.current().table).NotTo(BeNil())
+
+		h.applyUpdate(&schemav1.ViewUpdate{Version: state.Version() + 1, Full: true, Base: []byte("damaged")}, true)
+		Expect(h.current().targets).To(HaveLen(999))
+	})
+
 	It("ignores a view that is older than the one in force", func() {
 		h := startHost()
 		t := startTarget("t", "desk")
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -29,6 +29,19 @@
 	if update.GetVersion() < v.version {
 		return nil
 	}
+	base, err := registry.Base(update)
+	if err != nil {
+		klog.ErrorS(err, "view update cannot be decoded", "version", update.GetVersion())
+		return nil
+	}
+	full := update.GetFull()
+	if base != nil {
+		// The base may be older than this view; together with the changes after it, the update is not.
+		v, full = (&view{table: v.table, registryHosts: v.registryHosts}).updated(base, decode), false
+		if v == nil {
+			return nil
+		}
+	}
 	n := *v
 	n.version = update.GetVersion()
 	if update.GetRoutes() != nil && (v.table == nil || update.GetRoutes().GetRevision() > v.table.Configuration.Revision) {
@@ -39,7 +52,7 @@
 			n.table = routes.Compile(configuration)
 		}
 	}
-	if update.GetFull() {
+	if full {
 		n.targets = map[string]*schemav1.Registration{}
 	} else if len(update.GetTargets()) > 0 {
 		n.targets = cloneMap(v.targets)
@@ -58,13 +71,13 @@
 		n.keyTables = cloneMap(v.keyTables)
 		for _, table := range update.GetKeys() {
 			known := n.keyTables[table.GetService()].GetRanges()
-			if update.GetFull() {
+			if full {
 				known = nil
 			}
 			n.keyTables[table.GetService()] = &schemav1.KeyTable{Service: table.GetService(), Ranges: registry.MergeRanges(known, table.GetRanges())}
 		}
 	}
-	if update.GetFull() {
+	if full {
 		n.entryHosts = nil
 	}
 	n.entryHosts = registry.MergeEntryHosts(n.entryHosts, update.GetEntries())
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -89,6 +89,7 @@
 	watchers      watchers
 	keyLoads      keyLoads
 	announcements registry.AnnouncementOrder
+	fullViews     registry.FullViews
 	ctx           context.Context
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -210,7 +210,7 @@
 	if r.state.Version() <= request.GetVersion() {
 		return &schemav1.ViewUpdate{Version: request.GetVersion(), LeaderKnown: upToDate}, nil
 	}
-	update := r.state.UpdateSince(request.GetVersion())
+	update := r.fullViews.UpdateSince(r.state, request.GetVersion())
 	update.LeaderKnown = upToDate
 	return update, nil
 }
