--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -90,6 +90,7 @@
 	keyLoads      keyLoads
 	announcements registry.AnnouncementOrder
 	fullViews     registry.FullViews
+	registrations registrations
 	ctx           context.Context
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
@@ -128,6 +129,11 @@
 		return nil, err
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.registrations.propose = func(command *schemav1.RegistryCommand) error {
+		_, err := r.proposeWithRetry(r.ctx, command)
+		return err
+	}
+	r.registrations.start = func(f func()) { r.start("commit registrations", f) }
 	r.registerHandlers()
 	return r, nil
 }
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -275,14 +275,12 @@
 	known, _ := r.state.Target(target.GetId())
 	outdated := r.announcements.IsOutdated(target, sequence)
 	if !outdated && registry.Supersedes(known, target) {
-		result, err := r.proposeWithRetry(ctx, &schemav1.RegistryCommand{Registration: target})
+		err := r.registrations.commit(ctx, target)
+		klog.InfoS("announcement committed", "target", target.GetId(), "service", target.GetService(), "address", target.GetAddress(),
+			"started", target.GetStartedUnixMs(), "life", target.GetLife(), "cold", target.GetCold(), "sequence", sequence, "err", err)
 		if err != nil {
-			klog.InfoS("announcement not committed", "target", target.GetId(), "life", target.GetLife(), "err", err)
 			return "", err
 		}
-		klog.InfoS("announcement committed", "target", target.GetId(), "service", target.GetService(), "address", target.GetAddress(),
-			"started", target.GetStartedUnixMs(), "life", target.GetLife(), "cold", target.GetCold(), "sequence", sequence,
-			"applied", result.GetApplied())
 	}
 	return r.nextAnnounceAddress(target), nil
 }
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -138,6 +138,12 @@
 		return s.applyRoutes(c.GetRoutes(), version)
 	case c.GetRegistration() != nil:
 		return s.applyRegistration(c.GetRegistration(), version)
+	case len(c.GetRegistrations()) > 0:
+		applied := false
+		for _, next := range c.GetRegistrations() {
+			applied = s.applyRegistration(next, version) || applied
+		}
+		return applied
 	case c.GetForgetTarget() != nil:
 		return s.applyForgetTarget(c.GetForgetTarget(), version)
 	case c.GetEvacuation() != nil:
