--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -89,6 +89,8 @@
 	// registryAddress is the peer address of the registry host that last answered; nil before the first answer.
 	registryAddress atomic.Pointer[string]
 	announcements   registry.AnnouncementOrder
+	// knownRegistryHosts are the registry hosts that were looked up before the first view. Only followRegistry uses it.
+	knownRegistryHosts []*schemav1.RegistryHost
 	// loadChanged wakes the sender of load reports.
 	loadChanged    chan struct{}
 	shuttingDown   atomic.Bool
--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -42,9 +42,17 @@
 
 // startHost starts an entry host without a registry; tests call applyView to set its view.
 func startHost() *Host {
-	h := New(Options{
+	h := newHost([]string{freeAddress()})
+	Expect(h.Start()).To(Succeed())
+	DeferCleanup(h.Kill)
+	return h
+}
+
+// newHost returns an entry host that has not been started.
+func newHost(seeds []string) *Host {
+	return New(Options{
 		Name: "e", DataCentre: "n", Region: "east", Regions: map[string]string{"n": "east"}, CallerAddress: freeAddress(), ReadinessAddress: freeAddress(),
-		LoadReportAddress: freeAddress(), Seeds: []string{freeAddress()}, Protocol: testProtocol, GracePeriod: 2 * time.Second,
+		LoadReportAddress: freeAddress(), Seeds: seeds, Protocol: testProtocol, GracePeriod: 2 * time.Second,
 		Dispatch: dispatch.Options{RetryRatio: 0.2, RetrySlack: 64},
 		DecodeConfiguration: func(*schemav1.RouteDocument) (*routes.Configuration, error) {
 			c := &routes.Configuration{Revision: 1, Services: map[string]routes.Service{"desk": {Name: "desk"}, "files": {Name: "files", Exclusive: true}}}
@@ -61,9 +69,6 @@
 			return c, nil
 		},
 	})
-	Expect(h.Start()).To(Succeed())
-	DeferCleanup(h.Kill)
-	return h
 }
 
 // testTarget is a target that responds with handler, or successfully if handler is nil.
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/dispatch"
 	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/registrar"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -22,12 +23,37 @@
 	// maxLeaderlessUpdates is the number of consecutive updates without a known leader after which another registry host is
 	// used.
 	maxLeaderlessUpdates = 2
+	// lookupRetryDelay is the pause before the registry hosts are looked up again at another seed.
+	lookupRetryDelay = 100 * time.Millisecond
+	// maxLookups is the number of lookups after which the first view is asked for at a seed, whatever its distance.
+	maxLookups = 10
 	// nearestRetryInterval is how long a more distant registry host is used before the nearest one is tried again.
 	nearestRetryInterval = 3 * time.Second
 )
 
+// lookUpRegistryHosts asks the seeds for the registry hosts, so that the first view, which is large, is asked for at the nearest one. Hosts
+// begin at different seeds.
+func (h *Host) lookUpRegistryHosts(ctx context.Context) {
+	first := int(dispatch.TargetHash(h.options.Name) >> 1)
+	for i := range maxLookups {
+		seeds := *h.seeds.Load()
+		if len(seeds) == 0 || ctx.Err() != nil {
+			return
+		}
+		address := seeds[(first+i)%len(seeds)]
+		update, err := h.callRegistry(ctx, address, &schemav1.ViewHello{Entry: h.self, HostsOnly: true})
+		if hosts := update.GetRegistryHosts(); err == nil && len(hosts) > 0 {
+			h.knownRegistryHosts = hosts
+			return
+		}
+		klog.V(1).InfoS("registry hosts not found", "address", address, "err", err)
+		monotonic.Sleep(ctx, lookupRetryDelay)
+	}
+}
+
 // followRegistry keeps the view up to date until ctx ends.
 func (h *Host) followRegistry(ctx context.Context) {
+	h.lookUpRegistryHosts(ctx)
 	index, leaderlessUpdates := 0, 0
 	switchedAt := h.now()
 	for ctx.Err() == nil {
@@ -67,16 +93,24 @@
 
 // watch asks a registry host for the changes since the view in force, and reports the key loads of this host.
 func (h *Host) watch(ctx context.Context, address string) (*schemav1.ViewUpdate, error) {
+	return h.callRegistry(ctx, address, &schemav1.ViewHello{Version: h.current().version, Entry: h.self, KeyLoads: h.keyLoads.takeCounts()})
+}
+
+// callRegistry makes a watch call to a registry host.
+func (h *Host) callRegistry(ctx context.Context, address string, request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	update := &schemav1.ViewUpdate{}
-	request := &schemav1.ViewHello{Version: h.current().version, Entry: h.self, KeyLoads: h.keyLoads.takeCounts()}
 	return update, h.registryClient.Call(ctx, address, registrar.MethodWatch, request, update)
 }
 
-// registryAddresses returns the peer addresses of the registry hosts in the view, the nearest first, followed by further seeds.
+// registryAddresses returns the peer addresses of the registry hosts in the view, or before the first one those that were looked up, the
+// nearest first, followed by further seeds.
 func (h *Host) registryAddresses() []string {
 	registryHosts := slices.Clone(h.current().registryHosts)
+	if len(registryHosts) == 0 {
+		registryHosts = slices.Clone(h.knownRegistryHosts)
+	}
 	slices.SortStableFunc(registryHosts, func(a, b *schemav1.RegistryHost) int {
 		return cmp.Compare(h.distance(a.GetDataCentre()), h.distance(b.GetDataCentre()))
 	})
--- /dev/null
+++ b/pkg/entry/watch_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"almondrock.example/almondrock/pkg/registrar"
+	"almondrock.example/almondrock/pkg/rpc"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// watchedRegistry is a registry host that only answers watch calls.
+type watchedRegistry struct {
+	address string
+
+	mu       sync.Mutex
+	answer   func(*schemav1.ViewHello) *schemav1.ViewUpdate
+	requests []*schemav1.ViewHello
+}
+
+func startWatchedRegistry(answer func(*schemav1.ViewHello) *schemav1.ViewUpdate) *watchedRegistry {
+	r := &watchedRegistry{answer: answer}
+	server := rpc.NewServer(rpc.ServerOptions{})
+	rpc.Register(server, registrar.MethodWatch, func(_ context.Context, request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.requests = append(r.requests, request)
+		return r.answer(request), nil
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(server.Close)
+	r.address = listener.Addr().String()
+	return r
+}
+
+// received returns the requests so far that ask for a view, or only for the registry hosts.
+func (r *watchedRegistry) received(hostsOnly bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, request := range r.requests {
+		if request.GetHostsOnly() == hostsOnly {
+			count++
+		}
+	}
+	return count
+}
+
+var _ = Describe("Host without a view", func() {
+	// Guards against hundreds of entry hosts that fetch whole views over the link between regions after the loss of all processes (sweep at
+	// 300 hosts).
+	It("asks a seed only for the registry hosts, and the nearest of them for its first view", func() {
+		near := startWatchedRegistry(func(*schemav1.ViewHello) *schemav1.ViewUpdate {
+			return &schemav1.ViewUpdate{Version: 7, Full: true, LeaderKnown: true, Routes: &schemav1.RouteDocument{Revision: 1}}
+		})
+		var distant *watchedRegistry
+		distant = startWatchedRegistry(func(*schemav1.ViewHello) *schemav1.ViewUpdate {
+			return &schemav1.ViewUpdate{RegistryHosts: []*schemav1.RegistryHost{
+				{Name: "a", DataCentre: "elsewhere", PeerAddress: distant.address}, {Name: "b", DataCentre: "n", PeerAddress: near.address},
+			}}
+		})
+		h := newHost([]string{distant.address})
+		Expect(h.Start()).To(Succeed())
+		DeferCleanup(h.Kill)
+		Eventually(func() uint64 { return h.current().version }).Should(BeEquivalentTo(7))
+		Expect(distant.received(true)).To(Equal(1))
+		Expect(distant.received(false)).To(BeZero())
+	})
+
+	It("asks a seed for its first view when no registry host is known there yet", func() {
+		seed := startWatchedRegistry(func(request *schemav1.ViewHello) *schemav1.ViewUpdate {
+			if request.GetHostsOnly() {
+				return &schemav1.ViewUpdate{}
+			}
+			return &schemav1.ViewUpdate{Version: 7, Full: true, LeaderKnown: true, Routes: &schemav1.RouteDocument{Revision: 1}}
+		})
+		h := newHost([]string{seed.address})
+		Expect(h.Start()).To(Succeed())
+		DeferCleanup(h.Kill)
+		Eventually(func() uint64 { return h.current().version }, "5s").Should(BeEquivalentTo(7))
+		Expect(seed.received(true)).To(Equal(maxLookups))
+	})
+})
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -181,38 +181,62 @@
 	}
 }
 
-// handleWatch returns what changed since the caller's version. If there is nothing, it waits up to watchTimeout for a change.
+// handleWatch returns what changed since the caller's version. If there is nothing, or if the caller has no view and this host is not up to
+// date, it waits up to watchTimeout.
 func (r *Registrar) handleWatch(ctx context.Context, request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
+	if request.GetHostsOnly() {
+		return &schemav1.ViewUpdate{HostsChanged: true, RegistryHosts: r.state.RegistryHosts()}, nil
+	}
 	r.watchers.markSeen(request.GetEntry().GetName())
 	r.keyLoads.add(request.GetKeyLoads())
 	r.addEntryHost(request.GetEntry())
+	r.awaitUpdate(ctx, request.GetVersion())
+	if r.state.Version() > request.GetVersion() {
+		monotonic.Sleep(ctx, r.watchers.reserveUpdate(request.GetEntry().GetName(), time.Now()))
+	}
+	upToDate := r.isCurrent()
+	switch {
+	case r.state.Version() <= request.GetVersion():
+		return &schemav1.ViewUpdate{Version: request.GetVersion(), LeaderKnown: upToDate}, nil
+	case request.GetVersion() == 0 && !upToDate:
+		// An entry host takes its first view only from a host that is up to date.
+		return &schemav1.ViewUpdate{}, nil
+	}
+	update := r.fullViews.UpdateSince(r.state, request.GetVersion())
+	update.LeaderKnown = upToDate
+	return update, nil
+}
+
+// awaitUpdate waits up to watchTimeout until there is an update for a view with this version. Version 0 stands for no view, which a host
+// provides only if it is up to date.
+func (r *Registrar) awaitUpdate(ctx context.Context, version uint64) {
 	deadline := time.NewTimer(watchTimeout)
 	defer deadline.Stop()
 	for {
 		changed := r.state.Changed()
-		// If this host lags behind the caller, it has nothing new for it until it has caught up.
-		if r.state.Version() > request.GetVersion() {
-			break
+		// A host that lags behind the caller has nothing new for it until it has caught up.
+		if r.state.Version() > version && (version > 0 || r.isCurrent()) {
+			return
+		}
+		var poll <-chan time.Time
+		if version == 0 {
+			poll = time.After(stepInterval)
 		}
 		select {
 		case <-changed:
-			continue
+		case <-poll:
 		case <-deadline.C:
+			return
 		case <-ctx.Done():
+			return
 		}
-		break
-	}
-	if r.state.Version() > request.GetVersion() {
-		monotonic.Sleep(ctx, r.watchers.reserveUpdate(request.GetEntry().GetName(), time.Now()))
 	}
+}
+
+// isCurrent reports whether this host has joined the group and its state is that of the group.
+func (r *Registrar) isCurrent() bool {
 	replica := r.currentReplica()
-	upToDate := replica != nil && r.isUpToDate(replica.Status())
-	if r.state.Version() <= request.GetVersion() {
-		return &schemav1.ViewUpdate{Version: request.GetVersion(), LeaderKnown: upToDate}, nil
-	}
-	update := r.fullViews.UpdateSince(r.state, request.GetVersion())
-	update.LeaderKnown = upToDate
-	return update, nil
+	return replica != nil && r.isUpToDate(replica.Status())
 }
 
 // isUpToDate reports whether the state of this host is that of the group.
--- a/pkg/registrar/watchers_test.go
+++ b/pkg/registrar/watchers_test.go
@@ -1,11 +1,15 @@
 package registrar
 
 import (
+	"context"
 	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
 var _ = Describe("Watchers", func() {
@@ -49,3 +53,26 @@
 		Expect(w.reserveUpdate("unknown", now)).To(BeZero())
 	})
 })
+
+var _ = Describe("Registrar that is not up to date", func() {
+	// Guards against whole views that are sent again and again to entry hosts, which may not use them, while a leader is elected after the
+	// loss of all processes (sweep at 300 hosts).
+	It("sends no whole view to an entry host without one, but changes to one with an older view", func() {
+		r, err := New(context.Background(), Options{Name: "r", PeerAddress: "127.0.0.1:1", DataDir: GinkgoT().TempDir()})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Stop)
+		for _, dataCentre := range []string{"n", "s"} {
+			command, err := proto.Marshal(&schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{DataCentre: dataCentre, Out: true}})
+			Expect(err).NotTo(HaveOccurred())
+			r.state.Apply(0, command)
+		}
+		watch := func(version uint64) *schemav1.ViewUpdate {
+			update, err := r.handleWatch(context.Background(), &schemav1.ViewHello{Version: version, Entry: &schemav1.EntryHost{Name: "e"}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(update.GetLeaderKnown()).To(BeFalse())
+			return update
+		}
+		Expect(proto.Size(watch(0))).To(BeZero())
+		Expect(watch(1).GetEvacuated()).To(Equal([]string{"n", "s"}))
+	})
+})
