--- a/pkg/raft/ready.go
+++ b/pkg/raft/ready.go
@@ -153,7 +153,10 @@
 	CommitIndex, AppliedIndex uint64
 	// LeaderCommitIndex is the highest commit index received from a leader. It is above CommitIndex while this member lags
 	// behind.
-	LeaderCommitIndex         uint64
+	LeaderCommitIndex uint64
+	// CommitTerm is the term of the entry at CommitIndex. While it is below Term, the leader may not know yet what earlier leaders have
+	// committed, so that its commit index says nothing about the state of the group.
+	CommitTerm                uint64
 	LastIndex, LastTerm       uint64
 	FirstIndex, SnapshotIndex uint64
 	Now                       uint64
@@ -166,6 +169,7 @@
 		ID: n.config.ID, Term: n.term, LeaderID: n.leader, Role: n.role, Sealed: n.sealed,
 		CommitIndex: n.log.commitIndex, AppliedIndex: n.log.appliedIndex, LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm(),
 		LeaderCommitIndex: max(n.leaderCommit, n.log.commitIndex),
+		CommitTerm:        n.log.commitTerm(),
 		FirstIndex:        n.log.firstIndex, SnapshotIndex: n.log.snapshot.GetIndex(), Now: n.now,
 	}
 	for _, member := range n.membership().GetMembers() {
--- a/pkg/registrar/freshness.go
+++ b/pkg/registrar/freshness.go
@@ -22,12 +22,13 @@
 }
 
 // isUpToDate reports whether this host knows a leader and has applied, at some time in the last maxLag, all entries that the leader
-// had reported as committed. Knowing a leader is not enough: a host that was down has a leader again long before it has caught up.
+// had reported as committed. Knowing a leader is not enough: a host that was down has a leader again long before it has caught up. A new
+// leader reports what earlier leaders have committed only once an entry of its own term is committed.
 func (f *freshness) isUpToDate(now time.Duration, status replication.Status) bool {
 	if status.LeaderID == 0 || status.Age > maxStatusAge {
 		return false
 	}
-	if status.AppliedIndex >= status.LeaderCommitIndex {
+	if status.AppliedIndex >= status.LeaderCommitIndex && status.CommitTerm == status.Term {
 		f.currentUntil.Store(int64(now + maxLag))
 		return true
 	}
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -32,6 +32,8 @@
 	// LeaderCommitIndex is the highest commit index received from a leader. It is above AppliedIndex while this member lags
 	// behind.
 	LeaderCommitIndex uint64
+	// CommitTerm is the term of the entry at CommitIndex. LeaderCommitIndex is that of the group only once CommitTerm is Term.
+	CommitTerm        uint64
 	LastIndex         uint64
 	LastTerm          uint64
 	LastSnapshotIndex uint64
@@ -64,7 +66,7 @@
 	r.status = Status{
 		ID: s.ID, Role: s.Role, Term: s.Term, LeaderID: s.LeaderID, LeaderAddress: r.driver.addressOf(s.LeaderID),
 		Sealed: s.Sealed, CommitIndex: s.CommitIndex, AppliedIndex: s.AppliedIndex,
-		LeaderCommitIndex: s.LeaderCommitIndex, LastIndex: s.LastIndex, LastTerm: s.LastTerm,
+		LeaderCommitIndex: s.LeaderCommitIndex, CommitTerm: s.CommitTerm, LastIndex: s.LastIndex, LastTerm: s.LastTerm,
 		LastSnapshotIndex: s.SnapshotIndex, Members: members,
 	}
 }
