--- a/pkg/host/group.go
+++ b/pkg/host/group.go
@@ -128,7 +128,6 @@
 	}
 	driver := ownership.NewDriver(g.table, func() time.Duration { return elected }, ownership.Options{
 		HoldsLeaderLease: g.replica.HoldsLease,
-		WallClock:        time.Now,
 		DecisionLog:      g.host.decisions,
 	})
 	g.setDriver(driver, term)
--- a/pkg/ownership/apply.go
+++ b/pkg/ownership/apply.go
@@ -47,7 +47,7 @@
 	case *schemav1.GroupCommand_FinishRecord:
 		return t.idempotencyRecords.finish(c.FinishRecord), false
 	case *schemav1.GroupCommand_ExpireRecords:
-		return &schemav1.GroupResult{Applied: t.idempotencyRecords.expire(c.ExpireRecords.GetBeforeUnixMs())}, false
+		return &schemav1.GroupResult{Applied: t.idempotencyRecords.expire(c.ExpireRecords.GetMinutes())}, false
 	default:
 		return &schemav1.GroupResult{Applied: t.applyPlacement(command)}, true
 	}
--- a/pkg/ownership/driver.go
+++ b/pkg/ownership/driver.go
@@ -32,8 +32,6 @@
 	// HoldsLeaderLease reports whether this process holds the leader lease now. While it does not, the driver grants no host
 	// leases and returns no commands.
 	HoldsLeaderLease func() bool
-	// WallClock returns the time against which idempotency records expire; if it is nil, they never expire.
-	WallClock func() time.Time
 	// DecisionLog receives placement decisions; if it is nil, none are written.
 	DecisionLog *decisionlog.Logger
 }
@@ -70,7 +68,7 @@
 func NewDriver(table *Table, clock lease.Clock, options Options) *Driver {
 	now := clock()
 	return &Driver{
-		table: table, options: options, startedAt: now, rebalancedAt: now, startIndex: table.AppliedIndex(),
+		table: table, options: options, startedAt: now, rebalancedAt: now, recordsExpiredAt: now, startIndex: table.AppliedIndex(),
 		holders: map[holderKey]*holder{}, targets: map[string]*observedTarget{},
 		pendingAnnouncements: map[string]*schemav1.Announcement{}, hotKeys: map[shardKey]*observedHotKey{}, planner: newPlannerState(),
 	}
--- a/pkg/ownership/recordexpiry.go
+++ b/pkg/ownership/recordexpiry.go
@@ -7,20 +7,20 @@
 )
 
 const (
-	// RecordRetention is how long idempotency records are kept.
-	RecordRetention = 24 * time.Hour
-	// expireInterval is the time between removals of old records.
-	expireInterval = time.Minute
+	// RecordRetention is how long idempotency records are kept at least.
+	RecordRetention  = 24 * time.Hour
+	retentionMinutes = uint64(RecordRetention / time.Minute)
 )
 
-// recordExpiryCommands returns, once a minute, the command that removes old idempotency records.
+// recordExpiryCommands returns, about once a minute, the command that removes old idempotency records. The minutes of a leader that has
+// ended since its last command are not counted, which keeps records longer.
 func (d *Driver) recordExpiryCommands(now time.Duration) []*schemav1.GroupCommand {
-	if d.options.WallClock == nil || now-d.recordsExpiredAt < expireInterval {
+	minutes := (now - d.recordsExpiredAt) / time.Minute
+	if minutes < 1 {
 		return nil
 	}
-	d.recordsExpiredAt = now
-	before := d.options.WallClock().Add(-RecordRetention).UnixMilli()
+	d.recordsExpiredAt += minutes * time.Minute
 	return []*schemav1.GroupCommand{{Command: &schemav1.GroupCommand_ExpireRecords{
-		ExpireRecords: &schemav1.ExpireRecords{BeforeUnixMs: before},
+		ExpireRecords: &schemav1.ExpireRecords{Minutes: uint64(minutes)},
 	}}}
 }
--- a/pkg/ownership/recordstore.go
+++ b/pkg/ownership/recordstore.go
@@ -24,6 +24,9 @@
 type recordStore struct {
 	byID  map[string]*schemav1.IdempotencyRecord
 	bytes int
+	// minute counts the minutes of leaders. Records expire by it and not by the time of day, whose steps would remove records early, so
+	// that a repeated request runs again.
+	minute uint64
 }
 
 func newRecordStore() *recordStore {
@@ -48,7 +51,7 @@
 		}
 	}
 	created := proto.CloneOf(record)
-	created.State, created.Answer = schemav1.RecordState_RECORD_STATE_BEGUN, nil
+	created.State, created.Answer, created.BegunMinute = schemav1.RecordState_RECORD_STATE_BEGUN, nil, s.minute
 	if !s.putIfFits(created) {
 		return &schemav1.GroupResult{StoreFull: true}
 	}
@@ -84,11 +87,13 @@
 		state == schemav1.RecordState_RECORD_STATE_UNKNOWN
 }
 
-// expire removes records that began before the given time. Records in progress stay, since their requests may still run.
-func (s *recordStore) expire(beforeUnixMs int64) bool {
+// expire lets minutes pass and removes the records that began more than RecordRetention ago. Records in progress stay, since their
+// requests may still run.
+func (s *recordStore) expire(minutes uint64) bool {
+	s.minute += minutes
 	removed := false
 	for id, record := range s.byID {
-		if record.BegunUnixMs < beforeUnixMs && record.State != schemav1.RecordState_RECORD_STATE_BEGUN {
+		if record.BegunMinute+retentionMinutes < s.minute && record.State != schemav1.RecordState_RECORD_STATE_BEGUN {
 			s.bytes -= recordSize(record)
 			delete(s.byID, id)
 			removed = true
--- a/pkg/ownership/recordstore_test.go
+++ b/pkg/ownership/recordstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -70,15 +71,18 @@
 	Entry("outcome reported after it was set to unknown", []*schemav1.GroupCommand{
 		beginRecord("id", "h3", 3, 11), setView(controlView(2, 2, 4)), finishRecord("id", 11, done, 5),
 	}, false, done),
-	Entry("expired while in progress", []*schemav1.GroupCommand{beginRecord("id", "h1", 1, 11), expireRecords(5000)}, false, begun),
+	Entry("expired while in progress", []*schemav1.GroupCommand{beginRecord("id", "h1", 1, 11), expireRecords(24*60 + 1)}, false, begun),
 	Entry("expired when done", []*schemav1.GroupCommand{
-		beginRecord("id", "h1", 1, 11), finishRecord("id", 11, done, 5), expireRecords(5000),
+		beginRecord("id", "h1", 1, 11), finishRecord("id", 11, done, 5), expireRecords(24*60 + 1),
 	}, true, begun),
+	Entry("kept for a day when done", []*schemav1.GroupCommand{
+		expireRecords(5), beginRecord("id", "h1", 1, 11), finishRecord("id", 11, done, 5), expireRecords(24 * 60),
+	}, false, done),
 )
 
-func expireRecords(before int64) *schemav1.GroupCommand {
+func expireRecords(minutes uint64) *schemav1.GroupCommand {
 	return &schemav1.GroupCommand{Command: &schemav1.GroupCommand_ExpireRecords{
-		ExpireRecords: &schemav1.ExpireRecords{BeforeUnixMs: before},
+		ExpireRecords: &schemav1.ExpireRecords{Minutes: minutes},
 	}}
 }
 
@@ -111,3 +115,26 @@
 		Expect(result.Record.Answer.Status).To(BeNumerically("==", 201))
 	})
 })
+
+var _ = Describe("Expiry of idempotency records", func() {
+	// Guards against steps of the time of day (clock_step) and changes of leader that remove records early, so that a repeated request runs
+	// again after its answer was lost (I8).
+	It("I8: counts only minutes of the monotonic clock of leaders, and goes on after a snapshot is restored", func() {
+		s := newTestLeader(2, 4)
+		s.apply(beginRecord("id", "h1", 1, 11))
+		s.apply(finishRecord("id", 11, done, 5))
+		state := func() schemav1.RecordState { return s.apply(beginRecord("id", "h2", 2, 22)).GetRecord().GetState() }
+		for range 3 {
+			s.advance(61*time.Second, nil)
+			s.startDriver()
+		}
+		Expect(state()).To(Equal(done))
+		snapshot, err := s.table.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.table.Restore(snapshot)).To(Succeed())
+		s.apply(expireRecords(24*60 - 3))
+		Expect(state()).To(Equal(done))
+		s.advance(61*time.Second, nil)
+		Expect(state()).To(Equal(begun))
+	})
+})
--- a/pkg/ownership/snapshot.go
+++ b/pkg/ownership/snapshot.go
@@ -43,7 +43,7 @@
 	defer t.mu.RUnlock()
 	return &schemav1.GroupSnapshot{
 		Format: snapshotFormat, DataCentre: t.dataCentre, Generation: t.generation, FenceCounter: t.fenceCounter,
-		Targets: t.Targets(), Shards: t.Shards(), Records: t.idempotencyRecords.sorted(), ControlView: t.view.Load(),
+		Targets: t.Targets(), Shards: t.Shards(), Records: t.idempotencyRecords.sorted(), RecordMinute: t.idempotencyRecords.minute, ControlView: t.view.Load(),
 		Applied: t.appliedIndex.Load(),
 	}
 }
@@ -105,6 +105,7 @@
 			t.putShard(keyspace, record)
 		}
 	}
+	t.idempotencyRecords.minute = snapshot.RecordMinute
 	for _, record := range snapshot.Records {
 		t.idempotencyRecords.replace(record)
 	}
