--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -111,8 +111,12 @@
 	if len(registryHosts) == 0 {
 		registryHosts = slices.Clone(h.knownRegistryHosts)
 	}
+	// Among hosts at the same distance, entry hosts use different ones, so that they share the load.
+	preference := func(host *schemav1.RegistryHost) uint32 {
+		return dispatch.TargetHash(h.options.Name + " " + host.GetName())
+	}
 	slices.SortStableFunc(registryHosts, func(a, b *schemav1.RegistryHost) int {
-		return cmp.Compare(h.distance(a.GetDataCentre()), h.distance(b.GetDataCentre()))
+		return cmp.Or(cmp.Compare(h.distance(a.GetDataCentre()), h.distance(b.GetDataCentre())), cmp.Compare(preference(a), preference(b)))
 	})
 	var addresses []string
 	for _, host := range registryHosts {
--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 
@@ -87,3 +88,25 @@
 		Expect(seed.received(true)).To(Equal(maxLookups))
 	})
 })
+
+var _ = Describe("registryAddresses", func() {
+	// Guards against one registry host of a data centre that serves all its entry hosts while the others serve none (large deployment: two
+	// registry hosts and 24 entry hosts in each data centre).
+	It("starts with the registry hosts of the own data centre, shared evenly among the entry hosts", func() {
+		first := map[string]int{}
+		for i := range 24 {
+			h := newHost([]string{"10.0.0.9:1"})
+			h.options.Name = fmt.Sprint("front-", i)
+			h.view.Store(&view{registryHosts: []*schemav1.RegistryHost{
+				{Name: "a", DataCentre: "elsewhere", PeerAddress: "10.0.0.1:1"},
+				{Name: "b", DataCentre: "n", PeerAddress: "10.0.0.2:1"}, {Name: "c", DataCentre: "n", PeerAddress: "10.0.0.3:1"},
+			}})
+			addresses := h.registryAddresses()
+			Expect(addresses).To(HaveLen(4))
+			Expect(addresses[2:]).To(Equal([]string{"10.0.0.1:1", "10.0.0.9:1"}))
+			first[addresses[0]]++
+		}
+		Expect(first).To(HaveLen(2))
+		Expect(first["10.0.0.2:1"]).To(BeNumerically("~", 12, 6))
+	})
+})
