--- a/pkg/entry/announce.go
+++ b/pkg/entry/announce.go
@@ -8,7 +8,6 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/registrar"
-	"almondrock.example/almondrock/pkg/registry"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -28,7 +27,7 @@
 	if v == nil || h.shuttingDown.Load() {
 		return "", merry.Wrap(ErrNoRelay)
 	}
-	if h.announcements.IsOutdated(target, sequence) || !registry.Supersedes(v.targets[target.GetId()], target) {
+	if !h.announcements.NeedsCommit(v.targets[target.GetId()], target, sequence) {
 		return "", nil
 	}
 	return "", h.passOn(ctx, &schemav1.TargetAnnouncement{Registration: target, Sequence: sequence})
--- a/pkg/registrar/registrations.go
+++ b/pkg/registrar/registrations.go
@@ -64,12 +64,20 @@
 func (r *registrations) commitAll() {
 	for batch := r.take(); batch != nil; batch = r.take() {
 		batch.err = guard.Run("commit registrations", func() error {
-			return r.propose(&schemav1.RegistryCommand{Registrations: batch.targets})
+			return r.propose(batch.command())
 		})
 		close(batch.done)
 	}
 }
 
+// command returns the command that commits the batch. A single registration has its own field, which earlier versions know too.
+func (b *registrationBatch) command() *schemav1.RegistryCommand {
+	if len(b.targets) == 1 {
+		return &schemav1.RegistryCommand{Registration: b.targets[0]}
+	}
+	return &schemav1.RegistryCommand{Registrations: b.targets}
+}
+
 // take removes and returns the next batch, or nil if there is none.
 func (r *registrations) take() *registrationBatch {
 	r.mu.Lock()
--- a/pkg/registrar/registrations_test.go
+++ b/pkg/registrar/registrations_test.go
@@ -29,6 +29,9 @@
 				proposals.Add(1)
 				time.Sleep(delay)
 				committed.Add(int64(len(c.GetRegistrations())))
+				if c.GetRegistration() != nil {
+					committed.Add(1)
+				}
 				return failure
 			},
 		}
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -297,8 +297,7 @@
 		return "", merry.Wrap(ErrUnknownService)
 	}
 	known, _ := r.state.Target(target.GetId())
-	outdated := r.announcements.IsOutdated(target, sequence)
-	if !outdated && registry.Supersedes(known, target) {
+	if r.announcements.NeedsCommit(known, target, sequence) {
 		err := r.registrations.commit(ctx, target)
 		klog.InfoS("announcement committed", "target", target.GetId(), "service", target.GetService(), "address", target.GetAddress(),
 			"started", target.GetStartedUnixMs(), "life", target.GetLife(), "cold", target.GetCold(), "sequence", sequence, "err", err)
--- a/pkg/registry/announcement.go
+++ b/pkg/registry/announcement.go
@@ -29,9 +29,16 @@
 	sequence uint64
 }
 
-// IsOutdated reports whether an announcement of the same start with a higher sequence number has arrived before. Otherwise it remembers
+// NeedsCommit reports whether an announcement changes the known registration of its target, which is nil if there is none. An outdated one
+// still does if it says that the target drains or is gone: the life only advances, and the later announcement may not have been committed.
+func (a *AnnouncementOrder) NeedsCommit(known, target *schemav1.Registration, sequence uint64) bool {
+	outdated := a.isOutdated(target, sequence)
+	return Supersedes(known, target) && (!outdated || target.GetLife() > schemav1.Life_LIFE_READY)
+}
+
+// isOutdated reports whether an announcement of the same start with a higher sequence number has arrived before. Otherwise it remembers
 // this one.
-func (a *AnnouncementOrder) IsOutdated(target *schemav1.Registration, sequence uint64) bool {
+func (a *AnnouncementOrder) isOutdated(target *schemav1.Registration, sequence uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.last == nil || len(a.last) > maxAnnouncements {
--- a/pkg/registry/announcement_test.go
+++ b/pkg/registry/announcement_test.go
@@ -12,11 +12,23 @@
 var _ = Describe("Announcements", func() {
 	It("are outdated when a later one of the same start of the target has arrived", func() {
 		order := &AnnouncementOrder{}
-		target := registration("t", 1, schemav1.Life_LIFE_READY)
-		Expect(order.IsOutdated(target, 5)).To(BeFalse())
-		Expect(order.IsOutdated(target, 4)).To(BeTrue())
-		Expect(order.IsOutdated(target, 5)).To(BeFalse())
-		Expect(order.IsOutdated(registration("t", 2, schemav1.Life_LIFE_READY), 1)).To(BeFalse())
+		ready := registration("t", 1, schemav1.Life_LIFE_READY)
+		cold := registration("t", 1, schemav1.Life_LIFE_READY)
+		cold.Cold = true
+		Expect(order.NeedsCommit(cold, ready, 5)).To(BeTrue())
+		Expect(order.NeedsCommit(ready, cold, 4)).To(BeFalse())
+		Expect(order.NeedsCommit(ready, ready, 6)).To(BeFalse())
+		Expect(order.NeedsCommit(ready, registration("t", 2, schemav1.Life_LIFE_READY), 1)).To(BeTrue())
+	})
+
+	// Guards against an acknowledged target that drains and still gets requests (DRAIN): a later announcement has failed, and an earlier one
+	// arrives after it.
+	It("are committed also when outdated if the target drains and that is not known yet", func() {
+		order := &AnnouncementOrder{}
+		ready, draining := registration("t", 1, schemav1.Life_LIFE_READY), registration("t", 1, schemav1.Life_LIFE_DRAINING)
+		Expect(order.NeedsCommit(ready, draining, 9)).To(BeTrue())
+		Expect(order.NeedsCommit(ready, draining, 8)).To(BeTrue())
+		Expect(order.NeedsCommit(draining, draining, 8)).To(BeFalse())
 	})
 
 	// Guards against registry hosts that spend their processor time on announcements (sweep at 300 hosts: 3,000 targets, 4 registry hosts).
