--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -99,7 +99,8 @@
 			h.options.Name = fmt.Sprint("front-", i)
 			h.view.Store(&view{registryHosts: []*schemav1.RegistryHost{
 				{Name: "a", DataCentre: "elsewhere", PeerAddress: "10.0.0.1:1"},
-				{Name: "b", DataCentre: "n", PeerAddress: "10.0.0.2:1"}, {Name: "c", DataCentre: "n", PeerAddress: "10.0.0.3:1"},
+				{Name: "b", DataCentre: "n", PeerAddress: "10.0.0.2:1"},
+				{Name: "c", DataCentre: "n", PeerAddress: "10.0.0.3:1"},
 			}})
 			addresses := h.registryAddresses()
 			Expect(addresses).To(HaveLen(4))
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -14,7 +14,6 @@
 	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/raft"
-	"almondrock.example/almondrock/pkg/registry"
 	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
