--- a/pkg/entry/announce_test.go
+++ b/pkg/entry/announce_test.go
@@ -7,25 +7,31 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"almondrock.example/almondrock/pkg/registrar"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
+// serveCalls starts a server for calls of one method, and returns its address.
+func serveCalls[Request, Response proto.Message](method string, handle func(Request) (Response, error)) string {
+	server := rpc.NewServer(rpc.ServerOptions{})
+	rpc.Register(server, method, func(_ context.Context, request Request) (Response, error) { return handle(request) })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(server.Close)
+	return listener.Addr().String()
+}
+
 // startRegistry starts a registry host that takes announcements, and returns the channel in which they arrive.
 func startRegistry(h *Host, answer func(*schemav1.TargetAnnouncement) error) <-chan *schemav1.TargetAnnouncement {
-	server := rpc.NewServer(rpc.ServerOptions{})
 	received := make(chan *schemav1.TargetAnnouncement, 16)
-	rpc.Register(server, registrar.MethodAnnounce, func(_ context.Context, a *schemav1.TargetAnnouncement) (*schemav1.TargetAnnouncementAnswer, error) {
+	address := serveCalls(registrar.MethodAnnounce, func(a *schemav1.TargetAnnouncement) (*schemav1.TargetAnnouncementAnswer, error) {
 		received <- a
 		return &schemav1.TargetAnnouncementAnswer{}, answer(a)
 	})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	go func() { _ = server.Serve(listener) }()
-	DeferCleanup(server.Close)
-	address := listener.Addr().String()
 	h.registryAddress.Store(&address)
 	return received
 }
--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -1,16 +1,13 @@
 package entry
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"almondrock.example/almondrock/pkg/registrar"
-	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -25,18 +22,12 @@
 
 func startWatchedRegistry(answer func(*schemav1.ViewHello) *schemav1.ViewUpdate) *watchedRegistry {
 	r := &watchedRegistry{answer: answer}
-	server := rpc.NewServer(rpc.ServerOptions{})
-	rpc.Register(server, registrar.MethodWatch, func(_ context.Context, request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
+	r.address = serveCalls(registrar.MethodWatch, func(request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.requests = append(r.requests, request)
 		return r.answer(request), nil
 	})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	go func() { _ = server.Serve(listener) }()
-	DeferCleanup(server.Close)
-	r.address = listener.Addr().String()
 	return r
 }
 
