--- a/pkg/registry/fullview.go
+++ b/pkg/registry/fullview.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// minPackedTargets is the number of changes in a full update from which on it is compressed and shared. Smaller ones are cheaper to
+	// minPackedTargets is the number of targets in a full update from which on it is compressed and shared. Smaller ones are cheaper to
 	// encode than to compress.
 	minPackedTargets = 500
 	// maxBaseChanges is the number of changes after a shared full update up to which it is still sent, followed by those changes.
