--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -64,7 +64,7 @@
 			Id: "t" + strconv.Itoa(i), StartedUnixMs: 1, Service: "desk", Address: address, DataCentre: "n", Slots: 2, Life: schemav1.Life_LIFE_READY,
 		})
 	}
-	h.applyUpdate(update, true)
+	h.applyUpdate(update, h.now())
 }
 
 func respondOK(c net.Conn, id string) {
--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -119,7 +119,7 @@
 			Life: schemav1.Life_LIFE_READY,
 		})
 	}
-	h.applyUpdate(update, true)
+	h.applyUpdate(update, h.now())
 }
 
 // sendRequest sends a request with the header fields given as pairs of name and value, and returns status, body and header.
@@ -193,13 +193,13 @@
 		command(&schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: "7"}})
 		packed := views.UpdateSince(state, 0)
 		Expect(packed.GetBase()).NotTo(BeEmpty())
-		h.applyUpdate(packed, true)
+		h.applyUpdate(packed, h.now())
 		Expect(h.current().version).To(Equal(state.Version()))
 		Expect(h.current().targets).To(HaveLen(999))
 		Expect(h.current().entryHosts).To(HaveLen(1))
 		Expect(h.current().table).NotTo(BeNil())
 
-		h.applyUpdate(&schemav1.ViewUpdate{Version: state.Version() + 1, Full: true, Base: []byte("damaged")}, true)
+		h.applyUpdate(&schemav1.ViewUpdate{Version: state.Version() + 1, Full: true, Base: []byte("damaged")}, h.now())
 		Expect(h.current().targets).To(HaveLen(999))
 	})
 
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -10,14 +10,21 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/dispatch"
+	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/registrar"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
 const (
-	// watchTimeout covers the time for which a registry host waits for a change, and a round trip with a retransmission.
+	// watchTimeout covers the time for which a registry host waits for a change, and a round trip with a retransmission. After it another
+	// registry host is asked as well.
 	watchTimeout = 900 * time.Millisecond
+	// lateWatchTimeout is how long a response is awaited in total. Behind the files on a congested link of 3 Mbit/s, each response may
+	// take longer than watchTimeout, so that without late responses the view would stand still.
+	lateWatchTimeout = 4 * time.Second
+	// maxPendingWatches bounds the registry hosts that are asked at the same time.
+	maxPendingWatches = 3
 	// watchRetryDelay is the pause after a failed call before another registry host is tried.
 	watchRetryDelay = 20 * time.Millisecond
 	// maxLeaderlessUpdates is the number of consecutive updates without a known leader after which another registry host is
@@ -27,6 +34,8 @@
 	lookupRetryDelay = 100 * time.Millisecond
 	// maxLookups is the number of lookups after which the first view is asked for at a seed, whatever its distance.
 	maxLookups = 10
+	// notConfirmed stands for an update that does not tell whether the view after it is current.
+	notConfirmed time.Duration = -1
 	// nearestRetryInterval is how long a more distant registry host is used before the nearest one is tried again.
 	nearestRetryInterval = 3 * time.Second
 )
@@ -41,7 +50,7 @@
 			return
 		}
 		address := seeds[(first+i)%len(seeds)]
-		update, err := h.callRegistry(ctx, address, &schemav1.ViewHello{Entry: h.self, HostsOnly: true})
+		update, err := h.callRegistry(ctx, address, watchTimeout, &schemav1.ViewHello{Entry: h.self, HostsOnly: true})
 		if hosts := update.GetRegistryHosts(); err == nil && len(hosts) > 0 {
 			h.knownRegistryHosts = hosts
 			return
@@ -51,54 +60,118 @@
 	}
 }
 
+// watchResult is the result of a watch call.
+type watchResult struct {
+	address string
+	// askedAt is when the call was sent. The response tells the state of the registry at that time or later.
+	askedAt time.Duration
+	update  *schemav1.ViewUpdate
+	err     error
+}
+
+// registryFollower keeps the view of a host up to date. Only one goroutine uses it.
+type registryFollower struct {
+	host *Host
+	// index is the position of the registry host in use among the registry addresses, 0 for the nearest, and switchedAt is when it changed.
+	index      int
+	switchedAt time.Duration
+	// leaderlessUpdates counts the consecutive updates without a known leader.
+	leaderlessUpdates int
+	// pending has the addresses of the calls without a result yet.
+	pending map[string]bool
+	results chan watchResult
+}
+
 // followRegistry keeps the view up to date until ctx ends.
 func (h *Host) followRegistry(ctx context.Context) {
 	h.lookUpRegistryHosts(ctx)
-	index, leaderlessUpdates := 0, 0
-	switchedAt := h.now()
+	f := &registryFollower{host: h, switchedAt: h.now(), pending: map[string]bool{}, results: make(chan watchResult, maxPendingWatches)}
 	for ctx.Err() == nil {
-		registryAddresses := h.registryAddresses()
-		if index > 0 && h.now()-switchedAt > nearestRetryInterval {
-			index = 0
+		f.step(ctx)
+	}
+}
+
+// step asks the registry host in use for changes and handles the next result. If there is none within watchTimeout, the next step asks
+// another registry host as well.
+func (f *registryFollower) step(ctx context.Context) {
+	addresses := f.host.registryAddresses()
+	if f.index > 0 && f.host.now()-f.switchedAt > nearestRetryInterval {
+		f.index = 0
+	}
+	address := addresses[f.index%len(addresses)]
+	if !f.pending[address] && len(f.pending) < maxPendingWatches {
+		f.start(ctx, address)
+	}
+	timer := time.NewTimer(watchTimeout)
+	defer timer.Stop()
+	select {
+	case result := <-f.results:
+		delete(f.pending, result.address)
+		f.handle(ctx, result, result.address == address)
+	case <-timer.C:
+		klog.InfoS("registry host slow to answer", "address", address, "viewVersion", f.host.current().version, "pending", len(f.pending))
+		f.useNext()
+	case <-ctx.Done():
+	}
+}
+
+// start sends a watch call for the changes since the view in force, which reports the key loads of this host.
+func (f *registryFollower) start(ctx context.Context, address string) {
+	f.pending[address] = true
+	h := f.host
+	hello := &schemav1.ViewHello{Version: h.current().version, Entry: h.self, KeyLoads: h.keyLoads.takeCounts()}
+	go func() {
+		result := watchResult{address: address, askedAt: h.now()}
+		result.err = guard.Run("watch", func() (err error) {
+			result.update, err = h.callRegistry(ctx, address, lateWatchTimeout, hello)
+			return err
+		})
+		f.results <- result
+	}()
+}
+
+// handle applies the result of a watch call. inUse is set if it is of the registry host in use.
+func (f *registryFollower) handle(ctx context.Context, result watchResult, inUse bool) {
+	h := f.host
+	if result.err == nil {
+		h.registryAddress.Store(&result.address)
+	}
+	switch {
+	case ctx.Err() != nil:
+	case result.err != nil:
+		klog.InfoS("registry host not answering", "address", result.address, "viewVersion", h.current().version, "err", result.err)
+		if inUse {
+			f.useNext()
+			monotonic.Sleep(ctx, watchRetryDelay)
 		}
-		address := registryAddresses[index%len(registryAddresses)]
-		update, err := h.watch(ctx, address)
-		if err == nil {
-			h.registryAddress.Store(&address)
+	case !result.update.GetLeaderKnown():
+		// Without a leader the update may be outdated. It replaces the view in force only if it is newer, and it cannot be the
+		// first view.
+		if h.current().version > 0 {
+			h.applyUpdate(result.update, notConfirmed)
 		}
-		switch {
-		case ctx.Err() != nil:
+		if !inUse {
 			return
-		case err != nil:
-			klog.InfoS("registry host not answering", "address", address, "viewVersion", h.current().version, "err", err)
-			index, leaderlessUpdates, switchedAt = index+1, 0, h.now()
+		}
+		if f.leaderlessUpdates++; f.leaderlessUpdates >= maxLeaderlessUpdates {
+			klog.InfoS("registry host has no leader", "address", result.address, "viewVersion", h.current().version)
+			f.useNext()
 			monotonic.Sleep(ctx, watchRetryDelay)
-		case !update.GetLeaderKnown():
-			// Without a leader the update may be outdated. It replaces the view in force only if it is newer, and it cannot be the
-			// first view.
-			if h.current().version > 0 {
-				h.applyUpdate(update, false)
-			}
-			if leaderlessUpdates++; leaderlessUpdates >= maxLeaderlessUpdates {
-				klog.InfoS("registry host has no leader", "address", address, "viewVersion", h.current().version)
-				index, leaderlessUpdates, switchedAt = index+1, 0, h.now()
-				monotonic.Sleep(ctx, watchRetryDelay)
-			}
-		default:
-			leaderlessUpdates = 0
-			h.applyUpdate(update, true)
 		}
+	default:
+		f.leaderlessUpdates = 0
+		h.applyUpdate(result.update, result.askedAt)
 	}
 }
 
-// watch asks a registry host for the changes since the view in force, and reports the key loads of this host.
-func (h *Host) watch(ctx context.Context, address string) (*schemav1.ViewUpdate, error) {
-	return h.callRegistry(ctx, address, &schemav1.ViewHello{Version: h.current().version, Entry: h.self, KeyLoads: h.keyLoads.takeCounts()})
+// useNext turns to the next registry host.
+func (f *registryFollower) useNext() {
+	f.index, f.leaderlessUpdates, f.switchedAt = f.index+1, 0, f.host.now()
 }
 
 // callRegistry makes a watch call to a registry host.
-func (h *Host) callRegistry(ctx context.Context, address string, request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+func (h *Host) callRegistry(ctx context.Context, address string, timeout time.Duration, request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	update := &schemav1.ViewUpdate{}
 	return update, h.registryClient.Call(ctx, address, registrar.MethodWatch, request, update)
@@ -142,14 +215,12 @@
 	}
 }
 
-// applyUpdate replaces the view by the one after the update, and informs the dispatcher. leaderKnown is set when the update
-// confirms that the view is current.
-func (h *Host) applyUpdate(update *schemav1.ViewUpdate, leaderKnown bool) {
+// applyUpdate replaces the view by the one after the update, and informs the dispatcher. confirmedAt is the time at which the view after
+// the update was certainly current, or notConfirmed.
+func (h *Host) applyUpdate(update *schemav1.ViewUpdate, confirmedAt time.Duration) {
 	old := h.current()
 	if update.GetVersion() == old.version {
-		if leaderKnown {
-			h.confirmedAt.Store(int64(h.now()))
-		}
+		h.confirmView(confirmedAt)
 		return
 	}
 	updated := old.updated(update, h.options.DecodeConfiguration)
@@ -158,9 +229,7 @@
 		return
 	}
 	h.view.Store(updated)
-	if leaderKnown {
-		h.confirmedAt.Store(int64(h.now()))
-	}
+	h.confirmView(confirmedAt)
 	now := h.now()
 	h.dispatcher.SetColdRates(updated.coldRates())
 	h.dispatcher.SetEvacuated(updated.evacuated)
@@ -189,3 +258,8 @@
 	klog.V(1).InfoS("view in force", "version", updated.version, "full", update.GetFull(), "targets", len(update.GetTargets()),
 		"bytes", proto.Size(update))
 }
+
+// confirmView records that the view was current at a time, or nothing for notConfirmed. Only the follower of the registry calls it.
+func (h *Host) confirmView(at time.Duration) {
+	h.confirmedAt.Store(max(h.confirmedAt.Load(), int64(at)))
+}
--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -80,6 +81,42 @@
 	})
 })
 
+var _ = Describe("Host on a congested link", func() {
+	// Guards against a view that stands still while each response takes longer than the time after which another registry host is asked
+	// (DRAIN on scale-2 of the large deployment, entry 0c2b76cf: three registry hosts were given up in turn).
+	It("follows the registry although all responses are late, and counts the age of its view from the calls", func() {
+		const delay = watchTimeout + 300*time.Millisecond
+		var mu sync.Mutex
+		version := uint64(7)
+		answer := func(request *schemav1.ViewHello) *schemav1.ViewUpdate {
+			mu.Lock()
+			version++
+			update := &schemav1.ViewUpdate{Version: version, Full: request.GetVersion() == 0, LeaderKnown: true, Routes: &schemav1.RouteDocument{Revision: 1}}
+			mu.Unlock()
+			return update
+		}
+		var seeds []string
+		for range 3 {
+			seeds = append(seeds, serveCalls(registrar.MethodWatch, func(request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
+				update := answer(request)
+				if request.GetVersion() > 0 {
+					time.Sleep(delay)
+				}
+				return update, nil
+			}))
+		}
+		h := newHost(seeds, testTimeout)
+		Expect(h.Start()).To(Succeed())
+		DeferCleanup(h.Kill)
+		Eventually(func() uint64 { return h.current().version }, "5s").ShouldNot(BeZero())
+		first := h.current().version
+		Eventually(func() uint64 { return h.current().version }, "3s").Should(BeNumerically(">", first))
+		Expect(h.viewAge()).To(BeNumerically(">=", delay), "the response tells the state at the time of the call")
+		// A view that is older than this breaks the limit for requests to targets that drain, 2.5 s after the acknowledgement.
+		Consistently(h.viewAge, "3s", "20ms").Should(BeNumerically("<", 2500*time.Millisecond))
+	})
+})
+
 var _ = Describe("registryAddresses", func() {
 	// Guards against one registry host of a data centre that serves all its entry hosts while the others serve none (large deployment: two
 	// registry hosts and 24 entry hosts in each data centre).
