--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -114,7 +114,7 @@
 	h := &Host{
 		options: options, started: time.Now(), dispatcher: dispatch.New(options.Dispatch),
 		self:           &schemav1.EntryHost{Name: options.Name, DataCentre: options.DataCentre, LoadAddress: options.LoadReportAddress, AnnounceAddress: options.AnnounceAddress},
-		upstream:       upstream.New(upstream.Options{IDHeader: options.Protocol.RequestIDHeader}),
+		upstream:       upstream.New(upstream.Options{IDHeader: options.Protocol.RequestIDHeader, ReceiveBuffer: receiveBuffer(options.LinkCapacity)}),
 		registryClient: rpc.NewClient(rpc.ClientOptions{MaxConnections: 1, BackoffMax: maxDialBackOff}), splitter: routes.NewSplitter(),
 		loadChanged: make(chan struct{}, 1), requestMetrics: newRequestMetrics(options.Name, options.DataCentre), pacer: newPacer(options.LinkCapacity),
 	}
--- a/pkg/entry/pacer.go
+++ b/pkg/entry/pacer.go
@@ -22,6 +22,13 @@
 	// minChunkSize and maxChunkSize bound chunks in bytes: small chunks need more system calls, large ones more memory.
 	minChunkSize = 4 << 10
 	maxChunkSize = 64 << 10
+	// receiveBufferTime is the transmission time of what a target may send ahead of this host. All bytes that are under way on the link
+	// delay the small responses behind them.
+	receiveBufferTime = 20 * time.Millisecond
+	// minReceiveBuffer fits a small response, and the data of one round trip between regions on a link of 3 Mbit/s. maxReceiveBuffer is
+	// the size in bytes from which on the operating system chooses the buffer.
+	minReceiveBuffer = 8 << 10
+	maxReceiveBuffer = 64 << 10
 	// maxBufferedResponse is the size in bytes up to which responses are buffered on any link, which bounds memory.
 	maxBufferedResponse = 1 << 20
 )
@@ -47,6 +54,16 @@
 	}
 }
 
+// receiveBuffer returns the size in bytes of the receive buffers of connections to targets, for a link with a capacity in bytes per second.
+// It is 0, the default of the operating system, if the link is fast or its capacity is not known.
+func receiveBuffer(link float64) int {
+	size := max(minReceiveBuffer, int(link*receiveBufferTime.Seconds()))
+	if link <= 0 || size > maxReceiveBuffer {
+		return 0
+	}
+	return size
+}
+
 // copy copies a large response at the limited rate, in chunks of at most chunkSize bytes.
 func (p *pacer) copy(ctx context.Context, w io.Writer, r io.Reader) error {
 	buffer := make([]byte, p.chunkSize)
--- a/pkg/entry/pacer_test.go
+++ b/pkg/entry/pacer_test.go
@@ -67,4 +67,11 @@
 		time.AfterFunc(30*time.Millisecond, cancel)
 		Expect(newPacer(10_000).copy(ctx, io.Discard, bytes.NewReader(make([]byte, 1<<20)))).NotTo(Succeed())
 	})
+
+	It("bounds the receive buffers on slow links only, to a fraction of the time that a small response may wait", func() {
+		Expect(receiveBuffer(slowLink)).To(BeNumerically("~", 14_000, 1))
+		Expect(receiveBuffer(3e6 / 8)).To(Equal(minReceiveBuffer))
+		Expect(receiveBuffer(1e9 / 8)).To(BeZero())
+		Expect(receiveBuffer(0)).To(BeZero())
+	})
 })
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -56,6 +56,9 @@
 	IDHeader string
 	// DialTimeout bounds the opening of a connection; DefaultDialTimeout when 0.
 	DialTimeout time.Duration
+	// ReceiveBuffer is the size in bytes of the receive buffer of connections, which bounds what a target sends ahead of the reader. 0
+	// leaves it to the operating system.
+	ReceiveBuffer int
 	// Dial opens connections; it defaults to a net.Dialer and is replaced in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -77,16 +80,20 @@
 		options.DialTimeout = DefaultDialTimeout
 	}
 	if options.Dial == nil {
-		options.Dial = (&net.Dialer{Control: setUserTimeout}).DialContext
+		options.Dial = (&net.Dialer{Control: options.setSocketOptions}).DialContext
 	}
 	return &Client{options: options, idle: map[string][]*conn{}}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, which detects peers that have gone away without closing their connections.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setSocketOptions sets the receive buffer, and TCP_USER_TIMEOUT, which detects peers that have gone away without closing their
+// connections.
+func (o Options) setSocketOptions(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
 		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout/time.Millisecond))
+		if optionErr == nil && o.ReceiveBuffer > 0 {
+			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, o.ReceiveBuffer)
+		}
 	})
 	if err != nil {
 		return err
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -102,6 +103,38 @@
 		Expect(client.Dials()).To(Equal(int64(1)))
 	})
 
+	// Guards against files that fill a slow link ahead of the reader, so that small responses wait behind them (large deployment, 3 Mbit/s).
+	It("lets a target send no more ahead of the reader than the receive buffer takes", func() {
+		sentAhead := func(receiveBuffer int) int64 {
+			var sent atomic.Int64
+			address := serveConnections(func(c net.Conn, reader *bufio.Reader) {
+				Expect(c.(*net.TCPConn).SetWriteBuffer(4 << 10)).To(Succeed())
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+r.Header.Get("Request-Id")+"\r\nContent-Length: 4194304\r\n\r\n")
+				for range 4096 {
+					n, err := c.Write(make([]byte, 1024))
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			})
+			client := New(Options{IDHeader: "Request-Id", ReceiveBuffer: receiveBuffer})
+			response, err := client.Send(context.Background(), newRequest(address, "1"))
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Abort()
+			time.Sleep(200 * time.Millisecond)
+			return sent.Load()
+		}
+		const buffer = 16 << 10
+		// The kernel doubles both buffers for its own needs, and the reader of the client takes readBufferSize.
+		Expect(sentAhead(buffer)).To(BeNumerically("<", 4*buffer))
+		Expect(sentAhead(0)).To(BeNumerically(">", 4*buffer))
+	})
+
 	It("reuses one connection for consecutive requests", func() {
 		address := serveResponses(func(r *http.Request, _ string) string { return responseText(r.Header.Get("Request-Id"), "ok") })
 		for _, id := range []string{"1", "2", "3"} {
