--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -115,6 +115,8 @@
 	reused        bool
 	// idleTimeout is how long the connection may be reused after a response; 0 prevents any reuse.
 	idleTimeout time.Duration
+	// lastID is the ID of the last request on the connection.
+	lastID string
 }
 
 // reset closes the connection and discards data that was written but not delivered. An ordinary close would keep sending it,
@@ -175,6 +177,7 @@
 	if err != nil {
 		return nil, &Error{Stage: NotSent, Address: r.Address, Cause: err}
 	}
+	cn.lastID = r.ID
 	stop := context.AfterFunc(ctx, cn.reset)
 	fail := func(stage Stage, err error) (*Response, error) {
 		stop()
@@ -201,7 +204,7 @@
 // acquireConn returns an idle connection of the pool, or dials a new one, within the limits that the request sets.
 func (c *Client) acquireConn(ctx context.Context, r *Request) (*conn, error) {
 	if !r.RequireNew {
-		if cn := c.takeIdle(r.PoolKey); cn != nil {
+		if cn := c.takeIdle(r.PoolKey, r.ID); cn != nil {
 			return cn, nil
 		}
 	}
@@ -225,9 +228,10 @@
 	}, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection that can be reused, or nil. Connections that have expired
-// or been closed, or on which data arrived without a request, are closed.
-func (c *Client) takeIdle(poolKey string) *conn {
+// takeIdle removes and returns the most recently used idle connection that can be reused for the request with an ID, or nil. Connections
+// that have expired or been closed, or on which data arrived without a request, are closed. So is one whose last request had the
+// same ID, because a late second copy of that response could not be told from the response to this request.
+func (c *Client) takeIdle(poolKey, id string) *conn {
 	now := time.Now()
 	for {
 		c.mu.Lock()
@@ -239,7 +243,8 @@
 		cn := list[len(list)-1]
 		c.idle[poolKey] = list[:len(list)-1]
 		c.mu.Unlock()
-		if now.Before(cn.reusableUntil) && cn.reader.Buffered() == 0 && sockets.IsOpenAndIdle(cn.Conn) {
+		repeated := id != "" && cn.lastID == id
+		if !repeated && now.Before(cn.reusableUntil) && cn.reader.Buffered() == 0 && sockets.IsOpenAndIdle(cn.Conn) {
 			cn.reused = true
 			return cn
 		}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -84,11 +84,9 @@
 	BeforeEach(func() { c = New(Options{IDHeader: "Request-Id"}) })
 
 	It("opens no connection for a request that requires a reused one", func() {
-		address := serveResponses(func(*http.Request, string) string {
-			return "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n"
-		})
+		address := serveResponses(func(r *http.Request, _ string) string { return responseText(r.Header.Get("Request-Id"), "") })
 		client := New(Options{IDHeader: "Request-Id"})
-		reused := newRequest(address, "1")
+		reused := newRequest(address, "2")
 		reused.RequireReused = true
 		_, err := client.Send(context.Background(), reused)
 		Expect(err).To(MatchError(ErrNoReusableConnection))
@@ -157,6 +155,30 @@
 		Expect(sendAndRead(c, newRequest(address, "2"))).To(Equal("own"))
 	})
 
+	// Guards against a request that is repeated after a refusal and is then taken for refused again, while it runs.
+	It("does not take a second copy of the refusal of an earlier attempt for the response to the next attempt of the same request", func() {
+		const refusal = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: 1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		var requests atomic.Int64
+		address := serveConnections(func(c net.Conn, reader *bufio.Reader) {
+			late := ""
+			for {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				reply := late + responseText("1", "second")
+				if requests.Add(1) == 1 {
+					reply, late = refusal, refusal
+				}
+				_, _ = io.WriteString(c, reply)
+			}
+		})
+		response, err := c.Send(context.Background(), newRequest(address, "1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		response.Finish()
+		Expect(sendAndRead(c, newRequest(address, "1"))).To(Equal("second"))
+	})
+
 	It("does not reuse a connection on which more than the response arrived", func() {
 		address := serveResponses(func(r *http.Request, _ string) string {
 			return responseText(r.Header.Get("Request-Id"), "ok") + "HTTP/1.1 200 OK\r\n"
