--- a/pkg/proxy/attached.go
+++ b/pkg/proxy/attached.go
@@ -266,9 +266,6 @@
 	return s.lostRefusal("the target gave no answer")
 }
 
-// maxNotRunBytes is the number of bytes of a target's refusal that are read so that its connection can be reused.
-const maxNotRunBytes = 4 << 10
-
 // checkResponse returns a refusal for responses that must not be delivered: those that belong to another request, those
 // whose end cannot be detected, and the target's own refusals (I6, I7).
 func (s *targetAttempt) checkResponse(reply *target.Exchange) error {
@@ -280,11 +277,8 @@
 		return s.badResponseRefusal("the target's answer carries another request id or none")
 	}
 	if response.Header.Get(target.HeaderNotRun) != "" {
-		_, err := io.CopyN(io.Discard, response.Body, maxNotRunBytes)
-		if err == nil {
-			reply.Discard()
-		}
-		response.Body.Close()
+		// The next attempt has the same ID, so a late second copy of this refusal could not be told from its response.
+		reply.Discard()
 		return s.targetRefusal(response.StatusCode)
 	}
 	if isCloseDelimited(response, s.r.Method) {
--- a/pkg/proxy/faults_test.go
+++ b/pkg/proxy/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 
 	"almondrock.example/almondrock/pkg/apierr"
 	"almondrock.example/almondrock/pkg/standin"
+	"almondrock.example/almondrock/pkg/target"
 )
 
 // outcome is the response that a caller gets after a fault, and the number of times that the target ran the request.
@@ -79,6 +81,36 @@
 	})
 })
 
+var _ = Describe("I7: a second copy of a refusal", func() {
+	// Guards against a request that is sent again after a refusal and is then taken for refused again, while it runs.
+	It("is not taken for the response to the next attempt of the same request", func() {
+		var attempts, runs atomic.Int64
+		h := hostsWithRawTarget(func(w http.ResponseWriter, r *http.Request) {
+			if attempts.Add(1) > 1 {
+				runs.Add(1)
+				return
+			}
+			refusal := "HTTP/1.1 503 Service Unavailable\r\n" + target.HeaderRequestID + ": " + r.Header.Get(target.HeaderRequestID) + "\r\n" +
+				target.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+			connection, buffered, err := w.(http.Hijacker).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			go func() {
+				defer connection.Close()
+				_, _ = io.WriteString(connection, refusal)
+				for {
+					if _, err := http.ReadRequest(buffered.Reader); err != nil {
+						return
+					}
+					runs.Add(1)
+					_, _ = io.WriteString(connection, refusal)
+				}
+			}()
+		})
+		Expect(sendRequest("POST", h.ingressAddress, "/desk/book", "").status).To(Equal(200))
+		Expect(runs.Load()).To(BeEquivalentTo(1))
+	})
+})
+
 var _ = Describe("I6: file responses that are cut off", func() {
 	const path = "/files/pattern?size=300000"
 	content := standin.FileContent("/files/pattern", 300000)
