--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -16,6 +16,9 @@
 	// Traffic between data centres and between regions is paid for, and a round trip between regions takes 24 ms.
 	otherDataCentreCost = 15 * time.Millisecond
 	otherRegionCost     = 60 * time.Millisecond
+	// otherRegionCostManyHosts takes the place of otherRegionCost from manyHosts on. There the load of most targets is known only as the mean
+	// of their region, so that all hosts move requests at once when the regions differ a little.
+	otherRegionCostManyHosts = 130 * time.Millisecond
 	// largeResponseFactor multiplies these two costs for large responses, which need more traffic.
 	largeResponseFactor = 20
 	// manyHosts is the number of entry hosts from which on load reports arrive too late to be relied on, because each host limits the
@@ -394,9 +397,12 @@
 // distanceCost returns the cost of sending a request to a target because of the target's distance and because this host does not
 // prefer it.
 func (d *Dispatcher) distanceCost(t *target, largeResponse bool, base time.Duration) time.Duration {
+	otherRegion := t.Region != d.options.Region
 	cost := time.Duration(0)
 	switch {
-	case t.Region != d.options.Region:
+	case otherRegion && d.hostCount >= manyHosts && !largeResponse:
+		cost = otherRegionCostManyHosts
+	case otherRegion:
 		cost = otherRegionCost
 	case t.DataCentre != d.options.DataCentre:
 		cost = otherDataCentreCost
@@ -404,7 +410,6 @@
 	if largeResponse {
 		cost *= largeResponseFactor
 	}
-	otherRegion := t.Region != d.options.Region
 	if d.hostCount >= manyHosts && (otherRegion || !t.preferred) {
 		cost += base * notPreferredPenaltyPercent / 100
 	}
