--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -16,9 +16,6 @@
 	// Traffic between data centres and between regions is paid for, and a round trip between regions takes 24 ms.
 	otherDataCentreCost = 15 * time.Millisecond
 	otherRegionCost     = 60 * time.Millisecond
-	// otherRegionCostManyHosts takes the place of otherRegionCost from manyHosts on. There the load of most targets is known only as the mean
-	// of their region, so that all hosts move requests at once when the regions differ a little.
-	otherRegionCostManyHosts = 130 * time.Millisecond
 	// largeResponseFactor multiplies these two costs for large responses, which need more traffic.
 	largeResponseFactor = 20
 	// manyHosts is the number of entry hosts from which on load reports arrive too late to be relied on, because each host limits the
@@ -32,6 +29,11 @@
 	// preferredInOtherRegions is the number of targets of other regions that a host prefers. With a few requests per second to other
 	// regions, it sends each of them about one per second.
 	preferredInOtherRegions = 8
+	// responsivePercent is the percentage of the time to the objective within which a target of the own region is expected to respond for
+	// responsiveRegionBonus to apply: from manyHosts on it takes precedence over targets of other regions that are better by less than this.
+	// The load of most of those is known only as the mean of their region, so that a small difference would move the requests of all hosts.
+	responsivePercent     = 60
+	responsiveRegionBonus = 100 * time.Millisecond
 	// failurePenalty is the cost of a target with a failure rate of 1.
 	failurePenalty = 600 * time.Millisecond
 	// scoreJitter is the maximum random increase of a score as a fraction of it, so that hosts with the same information do not all
@@ -305,8 +307,7 @@
 func (d *Dispatcher) choose(now time.Duration, r *Request) (*Choice, Reason) {
 	s := d.service(r.Service)
 	base := d.base(r.Route)
-	var best *target
-	bestScore, bestLatency := 0.0, time.Duration(0)
+	var best, bestInRegion scoredTarget
 	reason := ReasonNoTarget
 	for _, t := range s.targets {
 		if t.ID == r.Owner {
@@ -320,26 +321,52 @@
 		cost := d.distanceCost(t, r.LargeResponse, base)
 		score := float64(expected+cost) + t.currentFailureRate(now)*float64(failurePenalty)
 		score *= 1 + scoreJitter*d.options.Rand()
-		if best == nil || score < bestScore {
-			best, bestScore, bestLatency = t, score, expected
+		scored := scoredTarget{t, score, expected}
+		if best.target == nil || score < best.score {
+			best = scored
+		}
+		if t.Region == d.options.Region && (bestInRegion.target == nil || score < bestInRegion.score) {
+			bestInRegion = scored
 		}
 	}
-	if best == nil {
+	if best.target == nil {
 		return nil, reason
 	}
-	if best.Cold {
-		best.cold.take()
+	if d.hostCount >= manyHosts && bestInRegion.isResponsive(r) && bestInRegion.score < best.score+float64(responsiveRegionBonus) {
+		best = bestInRegion
+	}
+	return d.assign(now, r, base, best), ""
+}
+
+// scoredTarget is a target with its score for a request and the expected latency. target is nil if there is none.
+type scoredTarget struct {
+	target   *target
+	score    float64
+	expected time.Duration
+}
+
+// isResponsive reports whether the target is expected to respond well within the objective of the request.
+func (c scoredTarget) isResponsive(r *Request) bool {
+	return c.target != nil && c.expected < r.TimeToObjective*responsivePercent/100
+}
+
+// assign counts a request as in flight at the chosen target.
+func (d *Dispatcher) assign(now time.Duration, r *Request, base time.Duration, chosen scoredTarget) *Choice {
+	t := chosen.target
+	if t.Cold {
+		t.cold.take()
 	}
+	load := t.expectedLoad(now)
 	choice := &Choice{
-		Target: best.Target, ExpectedLatency: bestLatency, BaseDuration: base, InFlight: int(math.Round(best.expectedLoad(now))), ReportAge: -1,
-		target: best, base: base, route: r.Route, requestsAhead: best.requestsAhead(best.expectedLoad(now)), slowdown: best.slowdownAt(now),
+		Target: t.Target, ExpectedLatency: chosen.expected, BaseDuration: base, InFlight: int(math.Round(load)), ReportAge: -1,
+		target: t, base: base, route: r.Route, requestsAhead: t.requestsAhead(load), slowdown: t.slowdownAt(now),
 	}
-	if best.hasReport {
-		choice.ReportAge = now - best.reportAt
+	if t.hasReport {
+		choice.ReportAge = now - t.reportAt
 	}
-	best.ownInFlight++
+	t.ownInFlight++
 	d.loadChanged = true
-	return choice, ""
+	return choice
 }
 
 // mostPromising returns that one of two reasons with which a later attempt is more likely to succeed.
@@ -400,8 +427,6 @@
 	otherRegion := t.Region != d.options.Region
 	cost := time.Duration(0)
 	switch {
-	case otherRegion && d.hostCount >= manyHosts && !largeResponse:
-		cost = otherRegionCostManyHosts
 	case otherRegion:
 		cost = otherRegionCost
 	case t.DataCentre != d.options.DataCentre:
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -55,6 +55,22 @@
 		Expect(order[:4]).NotTo(ContainElement("far"))
 	})
 
+	// Guards against traffic between regions for small differences between the means of the regions (desk of sbfa-fitting-grown, scale days).
+	It("prefers a little slower target of the own region where there are many hosts, while it is expected to respond in time", func() {
+		chosen := func(hosts int, objective time.Duration) string {
+			d := newDispatcher("n")
+			d.SetEntryHosts(hosts, 1, 0)
+			d.SetTargets(0, []Target{newTarget("here", "n", "east"), newTarget("far", "w", "west")})
+			d.targets["here"].slowdownCorrection, d.targets["here"].observations = 2.5, 1
+			request := lookupRequest()
+			request.TimeToObjective = objective
+			return mustChoose(d, 0, request).ID
+		}
+		Expect(chosen(manyHosts, 500*ms)).To(Equal("here"), "250 ms here, 100 ms and the cost of distance there")
+		Expect(chosen(manyHosts, 400*ms)).To(Equal("far"), "250 ms are not well within the objective")
+		Expect(chosen(manyHosts-1, 500*ms)).To(Equal("far"), "with few hosts the load of each target is known")
+	})
+
 	It("sends nothing outside the allowed regions, to evacuated data centres or to draining targets", func() {
 		d := newDispatcher("n")
 		draining := newTarget("leaving", "w", "west")
