--- a/pkg/httpserver/fuzz_test.go
+++ b/pkg/httpserver/fuzz_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -68,7 +70,7 @@
 	reader := bufio.NewReader(connection)
 	for {
 		if _, err := reader.Peek(1); err != nil {
-			if failure, ok := err.(net.Error); ok && failure.Timeout() {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Fatal("the connection does not end")
 			}
 			return
