--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -155,6 +155,33 @@
 		Expect(sendAndRead(c, newRequest(address, "2"))).To(Equal("own"))
 	})
 
+	// Guards against bytes of an earlier response that become a part of the next one, wherever the late copy is cut off.
+	It("never takes a part of a late copy for a part of the next response", func() {
+		late := responseText("1", "stale body")
+		for cut := 1; cut < len(late); cut++ {
+			address := serveConnections(func(c net.Conn, reader *bufio.Reader) {
+				for prefix := ""; ; prefix = late[:cut] {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, prefix+responseText(r.Header.Get("Request-Id"), "own body"))
+				}
+			})
+			Expect(sendAndRead(c, newRequest(address, "1"))).To(Equal("own body"))
+			next := newRequest(address, "2")
+			next.Deadline = time.Now().Add(300 * time.Millisecond)
+			body, err := sendAndRead(c, next)
+			if err == nil {
+				Expect(body).To(Equal("own body"), "copy cut after %d bytes", cut)
+				continue
+			}
+			var failed *Error
+			Expect(errors.As(err, &failed)).To(BeTrue())
+			Expect(failed.Stage).NotTo(Equal(NotSent), "the request may have run")
+		}
+	})
+
 	// Guards against a request that is repeated after a refusal and is then taken for refused again, while it runs.
 	It("does not take a second copy of the refusal of an earlier attempt for the response to the next attempt of the same request", func() {
 		const refusal = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: 1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
