--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -73,8 +73,18 @@
 		silent, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(silent.Close)
+		askedSilent, askedOther := make(chan time.Time, 1), make(chan time.Time, 1)
+		go func() {
+			if _, err := silent.Accept(); err == nil {
+				askedSilent <- time.Now()
+			}
+		}()
 		var seed *watchedRegistry
 		seed = startWatchedRegistry(func(*schemav1.ViewHello) *schemav1.ViewUpdate {
+			select {
+			case askedOther <- time.Now():
+			default:
+			}
 			return &schemav1.ViewUpdate{
 				Version: 7, Full: true, LeaderKnown: true, Routes: &schemav1.RouteDocument{Revision: 1},
 				RegistryHosts: []*schemav1.RegistryHost{{Name: "a", DataCentre: "n", PeerAddress: seed.address}},
@@ -85,7 +95,8 @@
 		h := newHost(seeds, testTimeout)
 		Expect(h.Start()).To(Succeed())
 		DeferCleanup(h.Kill)
-		Eventually(func() uint64 { return h.current().version }, 800*time.Millisecond).Should(BeEquivalentTo(7))
+		Eventually(func() uint64 { return h.current().version }, "5s").Should(BeEquivalentTo(7))
+		Expect((<-askedOther).Sub(<-askedSilent)).To(BeNumerically("<", watchTimeout), "a lookup does not take as long as a call that waits for changes")
 	})
 
 	It("asks a seed for its first view when no registry host is known there yet", func() {
