--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -30,8 +30,8 @@
 	// maxLeaderlessUpdates is the number of consecutive updates without a known leader after which another registry host is
 	// used.
 	maxLeaderlessUpdates = 2
-	// lookupTimeout is how long a seed is waited for that is asked for the registry hosts. It answers at once, but a connection to a seed
-	// that just starts is opened only when its handshake is sent again, after a second.
+	// lookupTimeout is how long a seed is waited for that is asked for the registry hosts, before the next one is asked as well. It answers at
+	// once, but a connection to a seed that just starts is opened only when its handshake is sent again, after a second.
 	lookupTimeout = 300 * time.Millisecond
 	// lookupRetryDelay is the pause before the registry hosts are looked up again at another seed.
 	lookupRetryDelay = 100 * time.Millisecond
@@ -44,23 +44,53 @@
 )
 
 // lookUpRegistryHosts asks the seeds for the registry hosts, so that the first view, which is large, is asked for at the nearest one. Hosts
-// begin at different seeds.
+// begin at different seeds. If a seed does not answer within lookupTimeout, the next one is asked as well.
 func (h *Host) lookUpRegistryHosts(ctx context.Context) {
 	first := firstSeed(h.options.Name)
-	for i := range maxLookups {
+	pending, results := map[string]bool{}, make(chan lookupResult, maxLookups)
+	for started := 0; started < maxLookups || len(pending) > 0; {
 		seeds := *h.seeds.Load()
-		if len(seeds) == 0 || ctx.Err() != nil {
+		if len(seeds) == 0 {
 			return
 		}
-		address := seeds[(first+i)%len(seeds)]
-		update, err := h.callRegistry(ctx, address, lookupTimeout, &schemav1.ViewHello{Entry: h.self, HostsOnly: true})
-		if hosts := update.GetRegistryHosts(); err == nil && len(hosts) > 0 {
-			h.knownRegistryHosts = hosts
+		if address := seeds[(first+started)%len(seeds)]; started < maxLookups && !pending[address] {
+			started++
+			pending[address] = true
+			go func() { results <- h.lookUpAt(ctx, address) }()
+		}
+		select {
+		case result := <-results:
+			delete(pending, result.address)
+			if len(result.hosts) > 0 {
+				h.knownRegistryHosts = result.hosts
+				return
+			}
+			monotonic.Sleep(ctx, lookupRetryDelay)
+		case <-time.After(lookupTimeout):
+		case <-ctx.Done():
 			return
 		}
+	}
+}
+
+// lookupResult is the result of asking a seed for the registry hosts. hosts is empty if it failed or the seed knows none.
+type lookupResult struct {
+	address string
+	hosts   []*schemav1.RegistryHost
+}
+
+// lookUpAt asks a seed for the registry hosts.
+func (h *Host) lookUpAt(ctx context.Context, address string) lookupResult {
+	result := lookupResult{address: address}
+	err := guard.Run("lookup", func() error {
+		update, err := h.callRegistry(ctx, address, watchTimeout, &schemav1.ViewHello{Entry: h.self, HostsOnly: true})
+		result.hosts = update.GetRegistryHosts()
+		return err
+	})
+	if err != nil || len(result.hosts) == 0 {
 		klog.V(1).InfoS("registry hosts not found", "address", address, "err", err)
-		monotonic.Sleep(ctx, lookupRetryDelay)
 	}
+	return result
 }
 
 // firstSeed returns the number of the seed, modulo the number of seeds, that a host asks first.
