--- /dev/null
+++ b/pkg/registrar/cutoff_test.go
@@ -0,0 +1,124 @@
+package registrar
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"almondrock.example/almondrock/pkg/routes"
+	"almondrock.example/almondrock/pkg/rpc"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// maxStaleClaim is how long a registry host that is cut off may still say that it is up to date. Of the 2 s in which a change must be in
+// force, this leaves one second in which its entry hosts turn to another registry host.
+const maxStaleClaim = time.Second
+
+// partition separates one registry host from all others: calls in both directions are held until they time out.
+type partition struct{ address atomic.Pointer[string] }
+
+func (p *partition) cuts(a, b string) bool {
+	cut := p.address.Load()
+	return cut != nil && (*cut == a) != (*cut == b)
+}
+
+// partitionedClient is the client of the registry host at address.
+type partitionedClient struct {
+	rpc.Client
+	address   string
+	partition *partition
+}
+
+func (c *partitionedClient) Call(ctx context.Context, address, method string, request, response proto.Message) error {
+	if c.partition.cuts(c.address, address) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return c.Client.Call(ctx, address, method, request, response)
+}
+
+// startGroup starts three voters and a learner, which is the last one.
+func startGroup(p *partition) []*Registrar {
+	GinkgoHelper()
+	var addresses []string
+	for range 4 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		addresses = append(addresses, listener.Addr().String())
+		Expect(listener.Close()).To(Succeed())
+	}
+	var hosts []*Registrar
+	for i, address := range addresses {
+		r, err := New(context.Background(), Options{
+			Name: fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
+			DataDir: GinkgoT().TempDir(),
+			Decode: func(d *schemav1.RouteDocument) (*routes.Configuration, error) {
+				return &routes.Configuration{Revision: d.GetRevision()}, nil
+			},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		r.client = &partitionedClient{r.client, address, p}
+		Expect(r.Start()).To(Succeed())
+		DeferCleanup(r.Stop)
+		hosts = append(hosts, r)
+	}
+	return hosts
+}
+
+// says returns whether a registry host tells an entry host with its view that the view is up to date.
+func says(r *Registrar) bool {
+	update, err := r.handleWatch(context.Background(), &schemav1.ViewHello{Version: r.state.Version(), Entry: &schemav1.EntryHost{Name: "e"}})
+	return err == nil && update.GetLeaderKnown()
+}
+
+var _ = Describe("Registry host that is cut off from its leader", func() {
+	// Guards against entry hosts that go on with an older configuration (HOME in inc1 and CONFIG on sbfa-fitting).
+	DescribeTable("stops to call itself up to date, and does so again when it is back",
+		func(learner bool) {
+			p := &partition{}
+			hosts := startGroup(p)
+			submit := func(revision uint64) {
+				GinkgoHelper()
+				document := &schemav1.RouteDocument{Revision: revision, Body: []byte("{}")}
+				Eventually(func() error { return hosts[0].SubmitConfiguration(context.Background(), document) }, "10s").Should(Succeed())
+			}
+			inForce := func(r *Registrar) func() uint64 { return func() uint64 { return r.state.Routes().GetRevision() } }
+			submit(1)
+			for _, r := range hosts {
+				Eventually(inForce(r), "10s").Should(BeEquivalentTo(1))
+				Eventually(says, "10s").WithArguments(r).Should(BeTrue())
+			}
+			leader := hosts[0].currentReplica().Status().LeaderAddress
+			cut := hosts[3]
+			if !learner {
+				for _, r := range hosts[1:3] {
+					if r.options.PeerAddress != leader {
+						cut = r
+					}
+				}
+			}
+			p.address.Store(&cut.options.PeerAddress)
+			cutAt := time.Now()
+			submit(2)
+			Eventually(says, maxStaleClaim-time.Since(cutAt), "20ms").WithArguments(cut).Should(BeFalse())
+			Consistently(says, "1s", "100ms").WithArguments(cut).Should(BeFalse())
+			Expect(inForce(cut)()).To(BeEquivalentTo(1))
+			for _, r := range hosts {
+				if r != cut {
+					Expect(says(r)).To(BeTrue(), r.options.Name)
+				}
+			}
+			p.address.Store(nil)
+			Eventually(inForce(cut), "10s").Should(BeEquivalentTo(2))
+			Eventually(says, "10s").WithArguments(cut).Should(BeTrue())
+		},
+		Entry("as a learner", true),
+		Entry("as a voter", false),
+	)
+})
