registrar, entry: count the age of a registry host's state instead of a flag

Cause: a registry host called itself up to date while it knew a leader and had applied what that leader had reported. A voter that is cut off campaigns and so forgets its leader; a learner may not campaign and never forgot it.

Now a member knows up to which time its state is complete: its responses carry a timestamp of its own clock, and a leader that holds its lease returns the last one with its commit index. The age grows by itself when a host is cut off, frozen, sealed, removed, lags or waits for its disk. View updates carry that time; entry hosts count on from it, turn to another registry host at the first update of one that is older than 0.7 s, and ask that one for a response at once. Both log it and have a gauge.

--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -84,8 +84,8 @@
 	peers          atomic.Pointer[[]*net.UDPAddr]
 	loadReportConn *net.UDPConn
 	viewChanged    broadcaster
-	// confirmedAt is when the registry last confirmed that the view is current, as the time since the start of the host.
-	confirmedAt atomic.Int64
+	// completeUntil is the time since the start of the host up to which the view certainly has all changes of the registry.
+	completeUntil atomic.Int64
 	// registryAddress is the peer address of the registry host that last answered; nil before the first answer.
 	registryAddress atomic.Pointer[string]
 	announcements   registry.AnnouncementOrder
@@ -146,8 +146,8 @@
 
 func (h *Host) current() *view { return h.view.Load() }
 
-// viewAge is the time since the registry last confirmed that the view is current.
-func (h *Host) viewAge() time.Duration { return h.now() - time.Duration(h.confirmedAt.Load()) }
+// viewAge is the time since the view certainly had all changes of the registry.
+func (h *Host) viewAge() time.Duration { return h.now() - time.Duration(h.completeUntil.Load()) }
 
 // Start opens the listeners and starts the background tasks of the host.
 func (h *Host) Start() error {
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -32,6 +32,11 @@
 	scope.Histogram(metrics.RequestSeconds, durationBuckets).RecordDuration(took)
 }
 
+// recordViewAge records the age of the view.
+func (m *requestMetrics) recordViewAge(age time.Duration) {
+	m.scope.Gauge(metrics.StateAgeSeconds).Update(age.Seconds())
+}
+
 // recordAttempt records one attempt at a target.
 func (m *requestMetrics) recordAttempt(service string, outcome dispatch.Outcome, latency time.Duration) {
 	scope := m.scope.Tagged(map[string]string{metrics.TagService: service, metrics.TagResult: outcome.String()})
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -21,9 +21,9 @@
 	defaultTimeout = 30 * time.Second
 	// unconfiguredRetryAfter is the Retry-After value, in seconds, while the host has no configuration or may lack a newer one.
 	unconfiguredRetryAfter = "0.300"
-	// maxConfirmationAge is the age of the last confirmation of the view from which on a missing route may have been added meanwhile. A
-	// registry host confirms the view at least every 400 ms.
-	maxConfirmationAge = 1500 * time.Millisecond
+	// maxViewAge is the age of the view from which on a missing route may have been added meanwhile. A registry host that is up to date
+	// sends updates at least every 400 ms, which are at most 0.7 s old, and a change must be in force within 2 s.
+	maxViewAge = 1500 * time.Millisecond
 )
 
 // serve handles one request of a caller.
@@ -70,7 +70,7 @@
 func (h *Host) refuseUnknownRoute(w http.ResponseWriter, id string, v *view) {
 	status, code := http.StatusNotFound, "no-route"
 	age := h.viewAge()
-	if age > maxConfirmationAge {
+	if age > maxViewAge {
 		status, code = http.StatusServiceUnavailable, "configuration-outdated"
 		w.Header().Set("Retry-After", unconfiguredRetryAfter)
 	}
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -27,9 +27,6 @@
 	maxPendingWatches = 3
 	// watchRetryDelay is the pause after a failed call before another registry host is tried.
 	watchRetryDelay = 20 * time.Millisecond
-	// maxLeaderlessUpdates is the number of consecutive updates without a known leader after which another registry host is
-	// used.
-	maxLeaderlessUpdates = 2
 	// lookupTimeout is how long a seed is waited for that is asked for the registry hosts, before the next one is asked as well. It answers at
 	// once, but a connection to a seed that just starts is opened only when its handshake is sent again, after a second.
 	lookupTimeout = 300 * time.Millisecond
@@ -37,7 +34,7 @@
 	lookupRetryDelay = 100 * time.Millisecond
 	// maxLookups is the number of lookups after which the first view is asked for at a seed, whatever its distance.
 	maxLookups = 10
-	// notConfirmed stands for an update that does not tell whether the view after it is current.
+	// notConfirmed stands for an update that does not tell up to which time the view after it is complete.
 	notConfirmed time.Duration = -1
 	// nearestRetryInterval is how long a more distant registry host is used before the nearest one is tried again.
 	nearestRetryInterval = 3 * time.Second
@@ -99,20 +96,29 @@
 // watchResult is the result of a watch call.
 type watchResult struct {
 	address string
-	// askedAt is when the call was sent. The response tells the state of the registry at that time or later.
+	// askedAt is when the call was sent.
 	askedAt time.Duration
 	update  *schemav1.ViewUpdate
 	err     error
 }
 
+// completeUntil returns the time up to which the view after the update certainly has all changes, or notConfirmed. The call reached the
+// registry host after askedAt, so that the result may be too early, but never too late.
+func (r *watchResult) completeUntil() time.Duration {
+	if r.update.CompleteUntilUs == nil {
+		return notConfirmed
+	}
+	return r.askedAt + time.Duration(r.update.GetCompleteUntilUs())*time.Microsecond
+}
+
 // registryFollower keeps the view of a host up to date. Only one goroutine uses it.
 type registryFollower struct {
 	host *Host
 	// index is the position of the registry host in use among the registry addresses, 0 for the nearest, and switchedAt is when it changed.
 	index      int
 	switchedAt time.Duration
-	// leaderlessUpdates counts the consecutive updates without a known leader.
-	leaderlessUpdates int
+	// staleHosts counts the registry hosts in a row that were not up to date.
+	staleHosts int
 	// pending has the addresses of the calls without a result yet.
 	pending map[string]bool
 	results chan watchResult
@@ -130,6 +136,7 @@
 // step asks the registry host in use for changes and handles the next result. If there is none within watchTimeout, the next step asks
 // another registry host as well.
 func (f *registryFollower) step(ctx context.Context) {
+	f.host.requestMetrics.recordViewAge(f.host.viewAge())
 	addresses := f.host.registryAddresses()
 	if f.index > 0 && f.host.now()-f.switchedAt > nearestRetryInterval {
 		f.index = 0
@@ -155,7 +162,8 @@
 func (f *registryFollower) start(ctx context.Context, address string) {
 	f.pending[address] = true
 	h := f.host
-	hello := &schemav1.ViewHello{Version: h.current().version, Entry: h.self, KeyLoads: h.keyLoads.takeCounts()}
+	// Only one response is asked for at once: while a leader is elected, no registry host is up to date, and all entry hosts ask them in turn.
+	hello := &schemav1.ViewHello{Version: h.current().version, Entry: h.self, KeyLoads: h.keyLoads.takeCounts(), AtOnce: f.staleHosts == 1}
 	go func() {
 		result := watchResult{address: address, askedAt: h.now()}
 		result.err = guard.Run("watch", func() (err error) {
@@ -180,29 +188,26 @@
 			f.useNext()
 			monotonic.Sleep(ctx, watchRetryDelay)
 		}
-	case !result.update.GetLeaderKnown():
-		// Without a leader the update may be outdated. It replaces the view in force only if it is newer, and it cannot be the
-		// first view.
+	case result.update.GetUpToDate():
+		h.applyUpdate(result.update, result.completeUntil())
+		f.staleHosts = 0
+	default:
+		// The update may lack changes. It replaces the view in force only if it is newer, and it cannot be the first view.
 		if h.current().version > 0 {
-			h.applyUpdate(result.update, notConfirmed)
+			h.applyUpdate(result.update, result.completeUntil())
 		}
-		if !inUse {
-			return
-		}
-		if f.leaderlessUpdates++; f.leaderlessUpdates >= maxLeaderlessUpdates {
-			klog.InfoS("registry host has no leader", "address", result.address, "viewVersion", h.current().version)
+		if inUse {
+			klog.InfoS("registry host not up to date", "address", result.address, "viewVersion", h.current().version, "viewAge", h.viewAge())
+			f.staleHosts++
 			f.useNext()
 			monotonic.Sleep(ctx, watchRetryDelay)
 		}
-	default:
-		f.leaderlessUpdates = 0
-		h.applyUpdate(result.update, result.askedAt)
 	}
 }
 
 // useNext turns to the next registry host.
 func (f *registryFollower) useNext() {
-	f.index, f.leaderlessUpdates, f.switchedAt = f.index+1, 0, f.host.now()
+	f.index, f.switchedAt = f.index+1, f.host.now()
 }
 
 // callRegistry makes a watch call to a registry host.
@@ -251,12 +256,12 @@
 	}
 }
 
-// applyUpdate replaces the view by the one after the update, and informs the dispatcher. confirmedAt is the time at which the view after
-// the update was certainly current, or notConfirmed.
-func (h *Host) applyUpdate(update *schemav1.ViewUpdate, confirmedAt time.Duration) {
+// applyUpdate replaces the view by the one after the update, and informs the dispatcher. completeUntil is the time up to which the view
+// after the update certainly has all changes, or notConfirmed.
+func (h *Host) applyUpdate(update *schemav1.ViewUpdate, completeUntil time.Duration) {
 	old := h.current()
 	if update.GetVersion() == old.version {
-		h.confirmView(confirmedAt)
+		h.confirmView(completeUntil)
 		return
 	}
 	updated := old.updated(update, h.options.DecodeConfiguration)
@@ -265,7 +270,7 @@
 		return
 	}
 	h.view.Store(updated)
-	h.confirmView(confirmedAt)
+	h.confirmView(completeUntil)
 	now := h.now()
 	h.dispatcher.SetColdRates(updated.coldRates())
 	h.dispatcher.SetEvacuated(updated.evacuated)
@@ -295,7 +300,7 @@
 		"bytes", proto.Size(update))
 }
 
-// confirmView records that the view was current at a time, or nothing for notConfirmed. Only the follower of the registry calls it.
-func (h *Host) confirmView(at time.Duration) {
-	h.confirmedAt.Store(max(h.confirmedAt.Load(), int64(at)))
+// confirmView records that the view is complete up to a time, or nothing for notConfirmed. Only the follower of the registry calls it.
+func (h *Host) confirmView(until time.Duration) {
+	h.completeUntil.Store(max(h.completeUntil.Load(), int64(until)))
 }
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -41,6 +41,7 @@
 	DiscardedAnswers   = "discarded_answers_total"
 	TargetConnections  = "target_connections"
 	DiskFull           = "disk_full"
+	StateAgeSeconds    = "state_age_seconds"
 	Panics             = "panics_total"
 )
 
--- a/pkg/raft/config.go
+++ b/pkg/raft/config.go
@@ -49,6 +49,9 @@
 	MaxUncommittedBytes int
 	// Rand returns a random number in [0, n).
 	Rand func(n int) int
+	// TimestampBase is added to the ticks in messages. It must be a new random number in each process, so that an echo of a timestamp of
+	// an earlier process is recognised.
+	TimestampBase uint64
 }
 
 // PersistentState is the state that a member keeps in durable storage across restarts.
--- a/pkg/raft/follower.go
+++ b/pkg/raft/follower.go
@@ -19,13 +19,14 @@
 	}
 	n.lastLeaderContactAt = n.now
 	n.resetElectionTimer()
-	n.updateLeaderCommit(m)
 	switch m.GetType() {
 	case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND:
+		n.confirmFromEcho(m.GetEcho(), m.GetCommit())
 		return n.stepAppend(m)
 	case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT:
 		n.stepSnapshot(m)
 	default:
+		n.confirmFromEcho(m.GetEcho(), m.GetIndex())
 		n.log.commitIndex = max(n.log.commitIndex, min(m.GetCommit(), n.log.lastIndex()))
 		n.send(&schemav1.RaftMessage{
 			Type: schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_RESPONSE, To: m.GetFrom(),
@@ -35,16 +36,6 @@
 	return nil
 }
 
-// updateLeaderCommit records the leader's commit index, which is above this member's own while this member lags behind.
-func (n *Node) updateLeaderCommit(m *schemav1.RaftMessage) {
-	switch m.GetType() {
-	case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT:
-		n.leaderCommit = max(n.leaderCommit, m.GetIndex())
-	case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND:
-		n.leaderCommit = max(n.leaderCommit, m.GetCommit())
-	}
-}
-
 func (n *Node) stepAppend(m *schemav1.RaftMessage) error {
 	response := &schemav1.RaftMessage{
 		Type: schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, To: m.GetFrom(), Index: m.GetIndex(),
--- a/pkg/raft/log.go
+++ b/pkg/raft/log.go
@@ -60,12 +60,6 @@
 	return term
 }
 
-// commitTerm returns the term of the last committed entry.
-func (l *entryLog) commitTerm() uint64 {
-	term, _ := l.term(l.commitIndex)
-	return term
-}
-
 // term returns the term of the entry at index, and false if the entry is compacted or beyond the end of the log.
 func (l *entryLog) term(index uint64) (uint64, bool) {
 	switch {
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -41,8 +41,8 @@
 	// lastLeaderContactAt is the tick of the last message from a valid leader. It starts at 0, so that a voter refuses votes
 	// for a while after a restart: a leader's lease may rely on heartbeats that the voter acknowledged before the restart.
 	lastLeaderContactAt uint64
-	// leaderCommit is the highest commit index received from a leader.
-	leaderCommit uint64
+	// confirmations tells how old the applied state may be.
+	confirmations confirmations
 	// electionTimeoutAt is the tick of the next election attempt.
 	electionTimeoutAt uint64
 
@@ -153,6 +153,7 @@
 	if n.now >= n.nextHeartbeatAt {
 		n.heartbeatPending = true
 	}
+	n.confirmAsLeader()
 }
 
 // isQuorumActive reports whether a quorum of membership has responded within the last ticks.
@@ -232,7 +233,7 @@
 	if n.role != Leader || m.GetTerm() < n.term || p == nil {
 		return
 	}
-	p.lastResponseAt = n.now
+	p.lastResponseAt, p.sentAt = n.now, m.GetSentAt()
 	switch m.GetType() {
 	case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE:
 		n.stepAppendResponse(m, p)
@@ -246,6 +247,12 @@
 // send queues a message for the next Ready. Its term is that of this member, unless m already has one, as in pre-votes.
 func (n *Node) send(m *schemav1.RaftMessage) {
 	m.From = n.config.ID
+	switch m.GetType() {
+	case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE,
+		schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_RESPONSE,
+		schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT_RESPONSE:
+		m.SentAt = n.timestamp()
+	}
 	if m.Term == 0 {
 		m.Term = n.term
 	}
--- a/pkg/raft/progress.go
+++ b/pkg/raft/progress.go
@@ -25,6 +25,8 @@
 	lastResponseAt uint64
 	// ackedRound is the last heartbeat round that the member has responded to.
 	ackedRound uint64
+	// sentAt is the timestamp of the last response.
+	sentAt uint64
 	// pendingSnapshot is the snapshot being sent while state is awaitingSnapshot.
 	pendingSnapshot snapshotTransfer
 	// A learner has caught up if it took at most a minimum election timeout to replicate the entries up to the end of the
--- a/pkg/raft/ready.go
+++ b/pkg/raft/ready.go
@@ -76,6 +76,7 @@
 	if count := len(r.CommittedEntries); count > 0 {
 		n.log.appliedIndex = r.CommittedEntries[count-1].GetIndex()
 	}
+	n.confirmations.advance(n.log.appliedIndex)
 	if n.role == Leader {
 		// For the commit index, a leader counts its own entries only once they are durable.
 		n.progress[n.config.ID].acknowledge(n.log.durableIndex)
@@ -151,12 +152,10 @@
 	Role                      Role
 	Sealed                    bool
 	CommitIndex, AppliedIndex uint64
-	// LeaderCommitIndex is the highest commit index received from a leader. It is above CommitIndex while this member lags
-	// behind.
-	LeaderCommitIndex uint64
-	// CommitTerm is the term of the entry at CommitIndex. While it is below Term, the leader may not know yet what earlier leaders have
-	// committed, so that its commit index says nothing about the state of the group.
-	CommitTerm                uint64
+	// CompleteAt is the last tick at which the applied state is known to have had everything that the group had committed by then. It is
+	// valid only if CompletenessKnown is set.
+	CompleteAt                uint64
+	CompletenessKnown         bool
 	LastIndex, LastTerm       uint64
 	FirstIndex, SnapshotIndex uint64
 	Now                       uint64
@@ -168,9 +167,8 @@
 	s := Status{
 		ID: n.config.ID, Term: n.term, LeaderID: n.leader, Role: n.role, Sealed: n.sealed,
 		CommitIndex: n.log.commitIndex, AppliedIndex: n.log.appliedIndex, LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm(),
-		LeaderCommitIndex: max(n.leaderCommit, n.log.commitIndex),
-		CommitTerm:        n.log.commitTerm(),
-		FirstIndex:        n.log.firstIndex, SnapshotIndex: n.log.snapshot.GetIndex(), Now: n.now,
+		CompleteAt: n.confirmations.completeAt, CompletenessKnown: n.confirmations.known,
+		FirstIndex: n.log.firstIndex, SnapshotIndex: n.log.snapshot.GetIndex(), Now: n.now,
 	}
 	for _, member := range n.membership().GetMembers() {
 		status := MemberStatus{Member: member}
--- a/pkg/registrar/freshness.go
+++ b/pkg/registrar/freshness.go
@@ -1,36 +1,39 @@
 package registrar
 
 import (
-	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/replication"
 )
 
-const (
-	// maxLag is how long this host may lack committed entries and still count as up to date. It is a few round trips between regions.
-	maxLag = 200 * time.Millisecond
-	// maxStatusAge is the age of the member's status from which on it says nothing about the group any more, because the member waits for
-	// its disk. Members publish their status at each heartbeat, learners every 200 ms.
-	maxStatusAge = 500 * time.Millisecond
-)
+// maxStateAge is the age up to which the state of this host counts as up to date. A learner is confirmed every 200 ms, by an echo that is
+// 200 ms and a round trip old, and a lost packet is sent again after about 200 ms. Entry hosts have the rest of their bound, 0.8 s, to turn
+// to another registry host.
+const maxStateAge = 700 * time.Millisecond
 
-// freshness tells whether the state of this host is that of the group. Its times are those of one monotonic clock.
-type freshness struct {
-	// currentUntil is the time until which the host counts as up to date without a further confirmation.
-	currentUntil atomic.Int64
+// stateAge returns the time since the state of this host certainly had everything that the group had committed, or replication.UnknownAge.
+func (r *Registrar) stateAge() time.Duration {
+	replica := r.currentReplica()
+	if replica == nil {
+		return replication.UnknownAge
+	}
+	return replica.Status().StateAge
 }
 
-// isUpToDate reports whether this host knows a leader and has applied, at some time in the last maxLag, all entries that the leader
-// had reported as committed. Knowing a leader is not enough: a host that was down has a leader again long before it has caught up. A new
-// leader reports what earlier leaders have committed only once an entry of its own term is committed.
-func (f *freshness) isUpToDate(now time.Duration, status replication.Status) bool {
-	if status.LeaderID == 0 || status.Age > maxStatusAge {
-		return false
+// isUpToDate reports whether the state of this host counts as that of the group.
+func (r *Registrar) isUpToDate() bool { return r.stateAge() <= maxStateAge }
+
+// recordFreshness records the age of the state in the metrics, and logs when the host starts or stops to be up to date. Only the main loop
+// calls it.
+func (r *Registrar) recordFreshness(age time.Duration) {
+	if age != replication.UnknownAge {
+		r.metrics.Scope.Gauge(metrics.StateAgeSeconds).Update(age.Seconds())
 	}
-	if status.AppliedIndex >= status.LeaderCommitIndex && status.CommitTerm == status.Term {
-		f.currentUntil.Store(int64(now + maxLag))
-		return true
+	if upToDate := age <= maxStateAge; upToDate != r.wasUpToDate {
+		r.wasUpToDate = upToDate
+		klog.InfoS("registry host up to date", "host", r.options.Name, "upToDate", upToDate, "age", age, "version", r.state.Version())
 	}
-	return now < time.Duration(f.currentUntil.Load())
 }
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -102,7 +102,8 @@
 	failed  chan error
 	// recordingSelf is set while this host records its own addresses in the registry.
 	recordingSelf atomic.Bool
-	freshness     freshness
+	// wasUpToDate is whether this host was up to date in the last pass of the main loop.
+	wasUpToDate bool
 }
 
 // New opens the data directory and determines the identity of this host. Start must be called for it to serve. While the disk is full,
@@ -313,7 +314,7 @@
 			leaderSeenAt = time.Now()
 			r.tryJoin()
 		}
-		r.isUpToDate(status)
+		r.recordFreshness(status.StateAge)
 		if status.LeaderID != 0 {
 			r.recordSelf()
 		}
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -186,23 +186,31 @@
 	if request.GetHostsOnly() {
 		return &schemav1.ViewUpdate{HostsChanged: true, RegistryHosts: r.state.RegistryHosts()}, nil
 	}
+	received := time.Now()
 	r.watchers.markSeen(request.GetEntry().GetName())
 	r.keyLoads.add(request.GetKeyLoads())
 	r.addEntryHost(request.GetEntry())
-	r.awaitUpdate(ctx, request.GetVersion())
+	if !request.GetAtOnce() {
+		r.awaitUpdate(ctx, request.GetVersion())
+	}
 	if r.state.Version() > request.GetVersion() {
 		monotonic.Sleep(ctx, r.watchers.reserveUpdate(request.GetEntry().GetName(), time.Now()))
 	}
-	upToDate := r.isCurrent()
-	switch {
-	case r.state.Version() <= request.GetVersion():
-		return &schemav1.ViewUpdate{Version: request.GetVersion(), LeaderKnown: upToDate}, nil
-	case request.GetVersion() == 0 && !upToDate:
-		// An entry host takes its first view only from a host that is up to date.
-		return &schemav1.ViewUpdate{}, nil
+	// The time and the age are read before the state, so that the update has at least what they stand for.
+	waited := time.Since(received)
+	age := r.stateAge()
+	update := &schemav1.ViewUpdate{Version: request.GetVersion()}
+	if r.state.Version() > request.GetVersion() {
+		if request.GetVersion() == 0 && age > maxStateAge {
+			// An entry host takes its first view only from a host that is up to date.
+			return &schemav1.ViewUpdate{}, nil
+		}
+		update = r.fullViews.UpdateSince(r.state, request.GetVersion())
+	}
+	update.UpToDate = age <= maxStateAge
+	if age != replication.UnknownAge {
+		update.CompleteUntilUs = proto.Int64((waited - age).Microseconds())
 	}
-	update := r.fullViews.UpdateSince(r.state, request.GetVersion())
-	update.LeaderKnown = upToDate
 	return update, nil
 }
 
@@ -214,7 +222,7 @@
 	for {
 		changed := r.state.Changed()
 		// A host that lags behind the caller has nothing new for it until it has caught up.
-		if r.state.Version() > version && (version > 0 || r.isCurrent()) {
+		if r.state.Version() > version && (version > 0 || r.isUpToDate()) {
 			return
 		}
 		var poll <-chan time.Time
@@ -232,17 +240,6 @@
 	}
 }
 
-// isCurrent reports whether this host has joined the group and its state is that of the group.
-func (r *Registrar) isCurrent() bool {
-	replica := r.currentReplica()
-	return replica != nil && r.isUpToDate(replica.Status())
-}
-
-// isUpToDate reports whether the state of this host is that of the group.
-func (r *Registrar) isUpToDate(status replication.Status) bool {
-	return r.freshness.isUpToDate(time.Since(r.started), status)
-}
-
 // addEntryHost starts to add an entry host to the registry, or to update it, if needed.
 func (r *Registrar) addEntryHost(entry *schemav1.EntryHost) {
 	if known := r.state.EntryHost(entry.GetName()); known != nil && proto.Equal(known, entry) {
--- a/pkg/replication/options.go
+++ b/pkg/replication/options.go
@@ -72,4 +72,5 @@
 		o.Rand = rand.IntN
 	}
 	o.Raft.ID, o.Raft.Rand = o.ID, o.Rand
+	setDefault(&o.Raft.TimestampBase, rand.Uint64())
 }
--- a/pkg/replication/replica.go
+++ b/pkg/replication/replica.go
@@ -34,8 +34,9 @@
 	leaseEnd atomic.Int64
 	mutex    sync.Mutex
 	status   Status
-	// publishedAt is the time of the last update of status, since startTime.
-	publishedAt time.Duration
+	// completeAt is the time since startTime at which the applied state was last known to be complete; see raft.Status.
+	completeAt        time.Duration
+	completenessKnown bool
 	// membersRefreshedAt is the tick of the last refresh of status.Members.
 	membersRefreshedAt uint64
 }
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"math"
 	"time"
 
 	"almondrock.example/almondrock/pkg/raft"
@@ -19,6 +20,9 @@
 	CaughtUp bool
 }
 
+// UnknownAge is the StateAge of a member whose state was not confirmed since its process started.
+const UnknownAge time.Duration = math.MaxInt64
+
 // Status describes the group as this member knows it.
 type Status struct {
 	ID   uint64
@@ -29,16 +33,12 @@
 	LeaderAddress             string
 	Sealed                    bool
 	CommitIndex, AppliedIndex uint64
-	// LeaderCommitIndex is the highest commit index received from a leader. It is above AppliedIndex while this member lags
-	// behind.
-	LeaderCommitIndex uint64
-	// CommitTerm is the term of the entry at CommitIndex. LeaderCommitIndex is that of the group only once CommitTerm is Term.
-	CommitTerm        uint64
+	// StateAge is the time since the applied state certainly had everything that the group had committed, or UnknownAge. It grows while
+	// this member is cut off from its leader, lags behind or waits for its disk.
+	StateAge          time.Duration
 	LastIndex         uint64
 	LastTerm          uint64
 	LastSnapshotIndex uint64
-	// Age is the time since this member last completed a cycle. It grows while the member waits for its disk.
-	Age time.Duration
 	// Members is refreshed every raft.DefaultHeartbeatTicks ticks and when the leader, the term or the number of members
 	// changes.
 	Members []MemberStatus
@@ -49,7 +49,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	status := r.status
-	status.Age = max(0, r.driver.options.Clock.Since(r.startTime)-r.publishedAt)
+	status.StateAge = UnknownAge
+	if r.completenessKnown {
+		status.StateAge = max(0, r.driver.options.Clock.Since(r.startTime)-r.completeAt)
+	}
 	return status
 }
 
@@ -57,7 +60,7 @@
 	s := r.driver.node.Status()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.publishedAt = r.driver.options.Clock.Since(r.startTime)
+	r.completeAt, r.completenessKnown = time.Duration(s.CompleteAt)*r.driver.options.Tick, s.CompletenessKnown
 	members := r.status.Members
 	if s.Now >= r.membersRefreshedAt+raft.DefaultHeartbeatTicks || s.Term != r.status.Term || s.LeaderID != r.status.LeaderID ||
 		len(s.Members) != len(members) {
@@ -66,7 +69,7 @@
 	r.status = Status{
 		ID: s.ID, Role: s.Role, Term: s.Term, LeaderID: s.LeaderID, LeaderAddress: r.driver.addressOf(s.LeaderID),
 		Sealed: s.Sealed, CommitIndex: s.CommitIndex, AppliedIndex: s.AppliedIndex,
-		LeaderCommitIndex: s.LeaderCommitIndex, CommitTerm: s.CommitTerm, LastIndex: s.LastIndex, LastTerm: s.LastTerm,
+		LastIndex: s.LastIndex, LastTerm: s.LastTerm,
 		LastSnapshotIndex: s.SnapshotIndex, Members: members,
 	}
 }
