registrar: a learner that was removed while it was cut off joins again

A registry host that stays away for 60 s as a learner is removed from the group. When it was back, it never joined again, because it still knew its last leader and only a host without a leader asks. Its data centre then had no registry host that is up to date, and it could not become a voter.

A host now asks to join again when its state has not been up to date for a second, whatever it knows of a leader. The new spec failed before (no answer within 10 s that it is up to date) and passes now.

--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"almondrock.example/almondrock/pkg/raft"
 	"almondrock.example/almondrock/pkg/routes"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -121,4 +122,27 @@
 		Entry("as a learner", true),
 		Entry("as a voter", false),
 	)
+
+	// Guards against a registry host that stays outside the group after a long partition: it is removed as a learner meanwhile, and no
+	// message tells it so.
+	It("joins again as a learner when it was removed meanwhile", func() {
+		p := &partition{}
+		hosts := startGroup(p)
+		for _, r := range hosts {
+			Eventually(says, "10s").WithArguments(r).Should(BeTrue())
+		}
+		cut := hosts[3]
+		p.address.Store(&cut.options.PeerAddress)
+		Eventually(func() error {
+			for _, r := range hosts[:3] {
+				if replica := r.currentReplica(); replica.Status().Role == raft.Leader {
+					return replica.Remove(context.Background(), cut.id)
+				}
+			}
+			return ErrNoLeader
+		}, "10s").Should(Succeed())
+		Eventually(says, "10s").WithArguments(cut).Should(BeFalse())
+		p.address.Store(nil)
+		Eventually(says, "10s").WithArguments(cut).Should(BeTrue())
+	})
 })
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -45,8 +45,9 @@
 	// maxDialBackOff is the maximum pause between attempts to connect to a host. When all hosts start again after they were down at
 	// the same time, each pause delays the election of a leader.
 	maxDialBackOff = 100 * time.Millisecond
-	// noLeaderTimeout is how long a member waits for a leader before it asks to join again, because it may have been removed.
-	noLeaderTimeout = time.Second
+	// rejoinTimeout is how long a member is not up to date before it asks to join again, because it may have been removed. A removed learner
+	// goes on knowing its last leader.
+	rejoinTimeout = time.Second
 	// forwardTimeout is the timeout of a call to another registry host. It is below the second after which callers use another host.
 	forwardTimeout = 800 * time.Millisecond
 	// retryInterval is the pause before a failed proposal or read is retried.
@@ -293,7 +294,7 @@
 	defer ticker.Stop()
 	lead := leadership{registrar: r, replica: replica}
 	defer lead.end()
-	leaderSeenAt := time.Now()
+	upToDateAt := time.Now()
 	knownLeader := uint64(0)
 	for {
 		select {
@@ -308,13 +309,13 @@
 			klog.InfoS("leader of the registry changed", "host", r.options.Name, "leader", status.LeaderAddress, "term", status.Term)
 			knownLeader = status.LeaderID
 		}
-		if status.LeaderID != 0 {
-			leaderSeenAt = time.Now()
-		} else if time.Since(leaderSeenAt) > noLeaderTimeout {
-			leaderSeenAt = time.Now()
+		r.recordFreshness(status.StateAge)
+		if status.StateAge <= maxStateAge {
+			upToDateAt = time.Now()
+		} else if time.Since(upToDateAt) > rejoinTimeout {
+			upToDateAt = time.Now()
 			r.tryJoin()
 		}
-		r.recordFreshness(status.StateAge)
 		if status.LeaderID != 0 {
 			r.recordSelf()
 		}
