raft: compute the lease once for the echoes of all messages, and send shorter timestamps

Each append and heartbeat computed the lease for its echo, which takes a pass over all members: with a hundred learners, ten thousand steps for one round. Echoes are now added when the messages are handed out. The commit index that a message has covers what was committed before the cycle, and all timestamps are older than the cycle.

The random part of timestamps has 32 bits instead of 64.

--- a/pkg/raft/config.go
+++ b/pkg/raft/config.go
@@ -49,7 +49,7 @@
 	MaxUncommittedBytes int
 	// Rand returns a random number in [0, n).
 	Rand func(n int) int
-	// TimestampBase is added to the ticks in messages. It must be a new random number in each process, so that an echo of a timestamp of
+	// TimestampBase is added to the ticks in messages. It must be a new random number above 0 in each process, so that an echo of a timestamp of
 	// an earlier process is recognised.
 	TimestampBase uint64
 }
--- a/pkg/raft/confirmation.go
+++ b/pkg/raft/confirmation.go
@@ -1,5 +1,9 @@
 package raft
 
+import (
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
 // confirmation states that everything that the group had committed by the tick at is in the log up to index.
 type confirmation struct{ at, index uint64 }
 
@@ -53,11 +57,18 @@
 	}
 }
 
-// echoFor returns the echo for a message to a member. Without the lease there may be another leader, whose commits this member does not
-// know.
-func (n *Node) echoFor(p *progress) uint64 {
-	if n.LeaseEnd() > n.now {
-		return p.sentAt
+// addEchoes completes the messages of a leader that have its commit index. It does so when they are handed out, because the lease is then
+// computed once for all of them. Without the lease there may be another leader, whose commits this member does not know.
+func (n *Node) addEchoes() {
+	if len(n.messages) == 0 || n.LeaseEnd() <= n.now {
+		return
+	}
+	for _, m := range n.messages {
+		switch m.GetType() {
+		case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT:
+			if p := n.progress[m.GetTo()]; p != nil {
+				m.Echo = p.sentAt
+			}
+		}
 	}
-	return 0
 }
--- a/pkg/raft/confirmation_test.go
+++ b/pkg/raft/confirmation_test.go
@@ -39,11 +39,11 @@
 		drain(n)
 		respond(n, 77)
 		Expect(heartbeatEchoes(n)).To(Equal(map[uint64]uint64{2: 0, 3: 0}))
-		Expect(n.Status().CompletenessKnown).To(BeFalse())
+		Expect(n.confirmations.known).To(BeFalse())
 		acknowledgeAsMember2(n, 4)
 		respond(n, 78)
 		Expect(heartbeatEchoes(n)).To(Equal(map[uint64]uint64{2: 78, 3: 0}))
-		Expect(n.Status().CompletenessKnown).To(BeTrue())
+		Expect(n.confirmations.known).To(BeTrue())
 	})
 
 	It("end with its lease, also for its own state", func() {
@@ -53,12 +53,12 @@
 		drain(n)
 		respond(n, 77)
 		Expect(heartbeatEchoes(n)).To(HaveKeyWithValue(uint64(2), uint64(77)))
-		completeAt := n.Status().CompleteAt
+		completeAt := n.confirmations.completeAt
 		Expect(completeAt).To(Equal(n.now))
 		n.TickBy(DefaultElectionMinTicks)
 		Expect(n.Role()).To(Equal(Leader))
 		Expect(heartbeatEchoes(n)).To(HaveKeyWithValue(uint64(2), uint64(0)))
-		Expect(n.Status().CompleteAt).To(Equal(completeAt))
+		Expect(n.confirmations.completeAt).To(Equal(completeAt))
 	})
 })
 
@@ -81,30 +81,30 @@
 	// Guards against a host that was cut off, frozen or down, and counts as up to date as soon as it hears from a leader again.
 	It("is complete only up to the time of its message that the leader has received", func() {
 		heartbeat(0, 3)
-		Expect(n.Status().CompletenessKnown).To(BeFalse())
+		Expect(n.confirmations.known).To(BeFalse())
 		heartbeat(base+7, 3)
-		Expect(n.Status().CompletenessKnown).To(BeTrue())
-		Expect(n.Status().CompleteAt).To(BeEquivalentTo(7))
+		Expect(n.confirmations.known).To(BeTrue())
+		Expect(n.confirmations.completeAt).To(BeEquivalentTo(7))
 		n.TickBy(10)
 		heartbeat(base+6, 3)
-		Expect(n.Status().CompleteAt).To(BeEquivalentTo(7), "an older confirmation that arrives late")
+		Expect(n.confirmations.completeAt).To(BeEquivalentTo(7), "an older confirmation that arrives late")
 	})
 
 	It("is not complete while it lacks entries that the leader has committed", func() {
 		heartbeat(base+7, 4)
-		Expect(n.Status().CompletenessKnown).To(BeFalse())
+		Expect(n.confirmations.known).To(BeFalse())
 		n.TickBy(5)
 		heartbeat(base+12, 9)
 		Expect(n.Step(&schemav1.RaftMessage{
 			Type: appendMessage, From: 2, To: 1, Term: 5, Index: 3, LogTerm: 5, Commit: 4, Entries: []*schemav1.Entry{{Index: 4, Term: 5}},
 		})).To(Succeed())
 		drain(n)
-		Expect(n.Status().CompleteAt).To(BeEquivalentTo(7), "entry 4 is applied, entry 9 is not")
+		Expect(n.confirmations.completeAt).To(BeEquivalentTo(7), "entry 4 is applied, entry 9 is not")
 	})
 
 	It("is not confirmed by timestamps of an earlier process", func() {
 		heartbeat(base-3, 3)
 		heartbeat(base+11, 3)
-		Expect(n.Status().CompletenessKnown).To(BeFalse())
+		Expect(n.confirmations.known).To(BeFalse())
 	})
 })
--- a/pkg/raft/heartbeat.go
+++ b/pkg/raft/heartbeat.go
@@ -45,7 +45,7 @@
 		}
 		n.send(&schemav1.RaftMessage{
 			Type: schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, To: id, Context: n.roundNumber,
-			Commit: min(p.matchIndex, n.log.commitIndex), Index: n.log.commitIndex, Echo: n.echoFor(p),
+			Commit: min(p.matchIndex, n.log.commitIndex), Index: n.log.commitIndex,
 		})
 	}
 	n.confirmReads()
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -74,7 +74,7 @@
 	entries := n.log.between(p.nextIndex, n.log.lastIndex(), n.config.MaxAppendBytes)
 	n.send(&schemav1.RaftMessage{
 		Type: schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, To: to, Index: previous, LogTerm: previousTerm,
-		Commit: n.log.commitIndex, Entries: entries, Echo: n.echoFor(p),
+		Commit: n.log.commitIndex, Entries: entries,
 	})
 	p.recordSent(previous+uint64(len(entries)), len(entries) == 0)
 	return true
--- a/pkg/raft/ready.go
+++ b/pkg/raft/ready.go
@@ -60,6 +60,7 @@
 	if n.appendPending {
 		n.broadcastAppend()
 	}
+	n.addEchoes()
 }
 
 // Advance confirms that all work of r is done.
@@ -109,6 +110,10 @@
 // LeaderID returns the ID of the leader of the current term, or 0 if it is not known.
 func (n *Node) LeaderID() uint64 { return n.leader }
 
+// CompleteAt returns the last tick at which the applied state is known to have had everything that the group had committed by then, and
+// false if there is none.
+func (n *Node) CompleteAt() (uint64, bool) { return n.confirmations.completeAt, n.confirmations.known }
+
 // Now returns the current tick. A node starts at tick 0.
 func (n *Node) Now() uint64 { return n.now }
 
@@ -152,10 +157,6 @@
 	Role                      Role
 	Sealed                    bool
 	CommitIndex, AppliedIndex uint64
-	// CompleteAt is the last tick at which the applied state is known to have had everything that the group had committed by then. It is
-	// valid only if CompletenessKnown is set.
-	CompleteAt                uint64
-	CompletenessKnown         bool
 	LastIndex, LastTerm       uint64
 	FirstIndex, SnapshotIndex uint64
 	Now                       uint64
@@ -167,7 +168,6 @@
 	s := Status{
 		ID: n.config.ID, Term: n.term, LeaderID: n.leader, Role: n.role, Sealed: n.sealed,
 		CommitIndex: n.log.commitIndex, AppliedIndex: n.log.appliedIndex, LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm(),
-		CompleteAt: n.confirmations.completeAt, CompletenessKnown: n.confirmations.known,
 		FirstIndex: n.log.firstIndex, SnapshotIndex: n.log.snapshot.GetIndex(), Now: n.now,
 	}
 	for _, member := range n.membership().GetMembers() {
--- a/pkg/replication/checker_test.go
+++ b/pkg/replication/checker_test.go
@@ -84,16 +84,16 @@
 
 // checkStateAge checks that a member's state has everything that was acknowledged before the time for which it counts as complete.
 func (c *checker) checkStateAge(now time.Duration, node *simNode) {
-	status := node.replica.node.Status()
-	if !status.CompletenessKnown {
+	tick, known := node.replica.node.CompleteAt()
+	if !known {
 		return
 	}
 	c.knownAges++
-	age := node.elapsed() - time.Duration(status.CompleteAt)*node.replica.options.Tick
+	age := node.elapsed() - time.Duration(tick)*node.replica.options.Tick
 	completeAt := now - time.Duration(float64(age)/node.clockRate)
 	later := sort.Search(len(c.acknowledgements), func(i int) bool { return c.acknowledgements[i].at >= completeAt })
-	if later > 0 && status.AppliedIndex < c.acknowledgements[later-1].index {
-		c.addViolation("state age: member %d has index %d at %v, but index %d was acknowledged before %v", node.id, status.AppliedIndex, now,
+	if later > 0 && node.replica.appliedIndex < c.acknowledgements[later-1].index {
+		c.addViolation("state age: member %d has index %d at %v, but index %d was acknowledged before %v", node.id, node.replica.appliedIndex, now,
 			c.acknowledgements[later-1].index, completeAt)
 	}
 }
--- a/pkg/replication/options.go
+++ b/pkg/replication/options.go
@@ -72,5 +72,6 @@
 		o.Rand = rand.IntN
 	}
 	o.Raft.ID, o.Raft.Rand = o.ID, o.Rand
-	setDefault(&o.Raft.TimestampBase, rand.Uint64())
+	// 32 bits make it unlikely enough that a delayed echo of an earlier process is taken for a current one, and take half of the bytes.
+	setDefault(&o.Raft.TimestampBase, uint64(rand.Uint32())+1)
 }
--- a/pkg/replication/replica.go
+++ b/pkg/replication/replica.go
@@ -34,7 +34,7 @@
 	leaseEnd atomic.Int64
 	mutex    sync.Mutex
 	status   Status
-	// completeAt is the time since startTime at which the applied state was last known to be complete; see raft.Status.
+	// completeAt is the time since startTime at which the applied state was last known to be complete; see raft.Node.CompleteAt.
 	completeAt        time.Duration
 	completenessKnown bool
 	// membersRefreshedAt is the tick of the last refresh of status.Members.
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -60,7 +60,8 @@
 	s := r.driver.node.Status()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.completeAt, r.completenessKnown = time.Duration(s.CompleteAt)*r.driver.options.Tick, s.CompletenessKnown
+	completeAt, known := r.driver.node.CompleteAt()
+	r.completeAt, r.completenessKnown = time.Duration(completeAt)*r.driver.options.Tick, known
 	members := r.status.Members
 	if s.Now >= r.membersRefreshedAt+raft.DefaultHeartbeatTicks || s.Term != r.status.Term || s.LeaderID != r.status.LeaderID ||
 		len(s.Members) != len(members) {
