Announcements with an ID that cannot be committed no longer fail those of other targets

Targets saw 503 or no answer within a second: an announcement whose ID is not UTF-8 cannot be encoded as a command, so the batch that holds it was tried for 900 ms and then failed with all others in it. IDs with line breaks became further fields of each request (and further log lines), IDs of 100 kB a part of each view.

Cause: only the body was checked, the ID comes from the path. Also accepted: starts after which no restart could be registered, sequences after which no announcement could follow, ports with a sign, the unspecified address (at which an entry host reaches itself), multicast addresses.

--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -14,6 +14,7 @@
 	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/raft"
+	"almondrock.example/almondrock/pkg/registry"
 	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -288,6 +289,10 @@
 // Announce processes an announcement of a target. After it has returned without an error, the announced life of the target applies on
 // all hosts. next is the address to which the target should send later announcements, or empty.
 func (r *Registrar) Announce(ctx context.Context, target *schemav1.Registration, sequence uint64) (next string, err error) {
+	// One that cannot be encoded would fail all others of its batch.
+	if err := registry.CheckRegistration(target); err != nil {
+		return "", merry.Wrap(err)
+	}
 	configuration := r.Configuration()
 	if configuration == nil {
 		return "", merry.Wrap(ErrNoConfiguration)
