--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -58,7 +58,13 @@
 		n.targets = cloneMap(v.targets)
 	}
 	for _, target := range update.GetTargets() {
-		if target.GetLife() == schemav1.Life_LIFE_GONE {
+		usable := target.GetLife() != schemav1.Life_LIFE_GONE
+		if err := registry.CheckRegistration(target); usable && err != nil {
+			// Logs and snapshots of earlier versions may hold registrations that are not accepted any more.
+			klog.InfoS("registration ignored", "viewVersion", update.GetVersion(), "err", err)
+			usable = false
+		}
+		if !usable {
 			delete(n.targets, target.GetId())
 			continue
 		}
--- a/pkg/registry/registration.go
+++ b/pkg/registry/registration.go
@@ -12,7 +12,7 @@
 const (
 	// maxTargetID is the length of the longest ID of a target in bytes. IDs are sent with each request and kept in each view.
 	maxTargetID = 256
-	// maxSlots is the largest number of slots of a target.
+	// maxSlots is the largest number of slots of a target. 0 stands for a number that is not known.
 	maxSlots = 1 << 16
 	// maxStartedUnixMs is the last millisecond of the year 9999, the last that RFC 3339 can write. A later start would outlast every
 	// restart of the target, because an earlier start never replaces a later one.
@@ -33,7 +33,7 @@
 	switch {
 	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() || address.Addr().Zone() != "":
 		return &RegistrationError{"address", r.GetAddress()}
-	case r.GetSlots() < 1 || r.GetSlots() > maxSlots:
+	case r.GetSlots() > maxSlots:
 		return &RegistrationError{"number of slots", strconv.FormatUint(uint64(r.GetSlots()), 10)}
 	case r.GetStartedUnixMs() <= 0 || r.GetStartedUnixMs() > maxStartedUnixMs:
 		return &RegistrationError{"start", strconv.FormatInt(r.GetStartedUnixMs(), 10)}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
 
 	"almondrock.example/almondrock/pkg/guard"
@@ -173,6 +174,9 @@
 // Send sends a request once. Errors are of type *Error. The end of ctx resets the connection, also while the response body is
 // being read.
 func (c *Client) Send(ctx context.Context, r *Request) (*Response, error) {
+	if err := checkHeader(r.Header); err != nil {
+		return nil, &Error{Stage: NotSent, Address: r.Address, Cause: err}
+	}
 	cn, err := c.acquireConn(ctx, r)
 	if err != nil {
 		return nil, &Error{Stage: NotSent, Address: r.Address, Cause: err}
@@ -275,6 +279,18 @@
 	}
 }
 
+// checkHeader returns an *InvalidHeaderError if a header field could not be sent as it is, or nil.
+func checkHeader(header http.Header) error {
+	for name, values := range header {
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+				return &InvalidHeaderError{Name: name}
+			}
+		}
+	}
+	return nil
+}
+
 // writeRequest writes the request and returns the number of bytes written so far. A long body is written by another goroutine,
 // because the target may respond before it reads the body; written is closed after its last byte and nil for other bodies.
 func writeRequest(cn *conn, r *Request) (written chan struct{}, n int, err error) {
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -274,6 +274,18 @@
 		Expect(c.Dials()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against a value that becomes a further header field or request, such as the ID of a target that another writer announced.
+	It("does not send a request with a header field that is not valid", func() {
+		address := serveResponses(func(r *http.Request, _ string) string { return responseText(r.Header.Get("Request-Id"), "ok") })
+		for name, value := range map[string]string{"Target": "t\r\nX: y", "Lines": "t\n", "Nul": "t\x00", "A: b\r\nC": "t", "": "t"} {
+			r := newRequest(address, "1")
+			r.Header[name] = []string{value}
+			_, err := sendAndRead(c, r)
+			Expect(err).To(HaveField("Stage", NotSent), name)
+		}
+		Expect(c.Dials()).To(BeZero())
+	})
+
 	It("sends a body of unknown length in chunks and a body of known length with Content-Length", func() {
 		address := serveResponses(func(r *http.Request, body string) string {
 			return responseText(r.Header.Get("Request-Id"), strconv.Itoa(len(body))+r.Header.Get("Content-Length"))
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -65,6 +65,14 @@
 	return fmt.Sprintf("response has the request ID %q, not %q", e.Got, e.Want)
 }
 
+// InvalidHeaderError reports a request with a header field that would be sent as something else, such as further fields.
+type InvalidHeaderError struct{ Name string }
+
+// Error implements error.
+func (e *InvalidHeaderError) Error() string {
+	return fmt.Sprintf("header field %q of the request is not valid", e.Name)
+}
+
 // HeaderTooLongError reports a target that sent more than Limit bytes before the end of a response header.
 type HeaderTooLongError struct{ Limit int }
 
