One odd load report no longer keeps a target from being used for good

Callers saw refusals ("busy") although a target was idle. A report that shows more than two waiting requests beyond those of the known hosts excludes the target, and only a response of the target brings the next report: with no request there is none, so the target stayed excluded for hours. Numbers that are too large also overflowed: the expected time became negative and the target the first choice whatever its load; an infinite slowdown spread to the base duration of the route. A report of another host that names one hash twice left load at the target for good.

Change: the values of a report are bounded by the slots of the target and maxSlowdown; a report older than 5 s is no reason to send nothing (one request at a time finds out); reports of hosts are counted as they are taken back.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -381,6 +381,9 @@
 // exclusionReason returns why a target must not be chosen for a request, or "" if it may.
 func (d *Dispatcher) exclusionReason(now time.Duration, s *service, t *target, r *Request, base time.Duration) Reason {
 	load := t.reportedLoad(now)
+	if t.ownInFlight == 0 && t.hasReport && now-t.reportAt > outdatedReportAge {
+		load = min(load, float64(t.peerInFlight))
+	}
 	switch {
 	case r.Owner != "" && t.ID != r.Owner,
 		t.Draining || d.evacuated[t.DataCentre],
--- a/pkg/dispatch/finish.go
+++ b/pkg/dispatch/finish.go
@@ -40,7 +40,9 @@
 	t.ownInFlight--
 	d.loadChanged = true
 	if result.Report != nil {
-		t.recordReport(now, *result.Report)
+		report := result.Report.bounded(t.Slots)
+		result.Report = &report
+		t.recordReport(now, report)
 	}
 	switch result.Outcome {
 	case OutcomeAnswered:
--- a/pkg/dispatch/peers.go
+++ b/pkg/dispatch/peers.go
@@ -47,8 +47,10 @@
 	d.peerInFlight[report.GetEntry()] = p
 	for i, hash := range report.GetTargets() {
 		if t := d.targetsByHash[hash]; t != nil && i < len(report.GetInFlight()) {
-			p.inFlight[t] = int(report.GetInFlight()[i])
-			t.peerInFlight += p.inFlight[t]
+			// Two targets may have the same hash.
+			count := min(int(report.GetInFlight()[i]), t.Slots*maxReportedPerSlot)
+			p.inFlight[t] += count
+			t.peerInFlight += count
 		}
 	}
 }
--- a/pkg/dispatch/targetload.go
+++ b/pkg/dispatch/targetload.go
@@ -25,6 +25,12 @@
 	// typicalLoadDecayTime is the time constant with which the load that a target reported is replaced by the typical one. Without it,
 	// a host that sends to hundreds of targets believes that those which it does not know are idle.
 	typicalLoadDecayTime = 2 * time.Second
+	// maxReportedPerSlot bounds the requests that one report may claim for each slot of a target. Targets queue a few more requests than they
+	// have slots; without a bound, one odd report would outweigh all later ones.
+	maxReportedPerSlot = 20
+	// outdatedReportAge is the age of the last report of a target from which on it is no reason to send no request there. The load that it
+	// showed has changed several times since, and only a response tells how.
+	outdatedReportAge = 5 * time.Second
 	// minReportWeight is the minimum weight of a report in a mean, used if it arrives right after another one.
 	minReportWeight = 0.02
 )
@@ -90,6 +96,16 @@
 	y.slowdown += (slowdown - y.slowdown) * typicalWeight
 }
 
+// bounded returns the report of a target with this number of slots with its values within the bounds of what can be.
+func (l TargetLoad) bounded(slots int) TargetLoad {
+	l.Running, l.Waiting = min(max(l.Running, 0), slots*maxReportedPerSlot), min(max(l.Waiting, 0), slots*maxReportedPerSlot)
+	if !(l.Slowdown > 0) {
+		l.Slowdown = 0
+	}
+	l.Slowdown = min(l.Slowdown, maxSlowdown)
+	return l
+}
+
 // recordReport adds a load report of the target itself, which came with a response. The report still counts the request of that
 // response as running, but ownInFlight and peerInFlight do not.
 func (t *target) recordReport(now time.Duration, report TargetLoad) {
