entry: the load that a killed host had told of expires also on busy hosts

Targets counted as busy with the requests of an entry host that was killed, as long as the load of this host changed at least every 400 ms: reports of other hosts were only looked at for their age while nothing was sent.

Change: their age is looked at in each round. Evidence: "expire although the load of this host changes all the time" failed before (a target still refused 1.5 s after the last report, which counts for 1 s) and passes after. Datagrams that cannot be read were ignored before too.

--- a/pkg/entry/load_report.go
+++ b/pkg/entry/load_report.go
@@ -68,7 +68,8 @@
 	return max(interval, min(reportRepeatInterval, time.Duration(bytes/(capacity*reportLinkShare)*float64(time.Second))))
 }
 
-// sendLoadReports sends the requests in flight to the peers whenever they have changed, until ctx ends.
+// sendLoadReports sends the requests in flight to the peers whenever they have changed, and forgets peers that do not report any more,
+// until ctx ends.
 func (h *Host) sendLoadReports(ctx context.Context) {
 	start, sequence := rand.Uint64(), uint64(0)
 	lastSent, lastSize := time.Duration(0), 0
@@ -79,6 +80,7 @@
 			return
 		}
 		now := h.now()
+		h.dispatcher.ExpirePeers(now)
 		report, changed := h.dispatcher.InFlightReport()
 		due := now-lastSent > reportRepeatInterval
 		if !changed && (!due || lastReportEmpty) {
@@ -88,7 +90,6 @@
 			case <-h.loadChanged:
 			case <-time.After(reportRepeatInterval):
 			}
-			h.dispatcher.ExpirePeers(now)
 			continue
 		}
 		lastSent, lastReportEmpty = now, len(report.GetTargets()) == 0
--- a/pkg/entry/load_report_test.go
+++ b/pkg/entry/load_report_test.go
@@ -1,10 +1,15 @@
 package entry
 
 import (
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"almondrock.example/almondrock/pkg/dispatch"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
 var _ = Describe("reportInterval", func() {
@@ -26,3 +31,39 @@
 		Expect(reportInterval(100, 1000, 1e6/8)).To(BeNumerically("<", time.Second))
 	})
 })
+
+var _ = Describe("Load reports of other hosts", func() {
+	// Guards against targets that count as busy for good after an entry host was killed.
+	It("expire although the load of this host changes all the time, and datagrams that cannot be read are ignored", func() {
+		h := startHost()
+		applyView(h, 1, nil, startTarget("t", "desk"), startTarget("u", "desk"))
+		choose := func(excluded string) *dispatch.Choice {
+			choice, _ := h.dispatcher.Choose(h.now(), &dispatch.Request{
+				Service: "desk", ExcludedTargets: []string{excluded}, TimeToDeadline: time.Second, TimeToObjective: time.Second,
+			})
+			return choice
+		}
+		socket, err := net.Dial("udp", h.options.LoadReportAddress)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(socket.Close)
+		encoded, err := proto.Marshal(&schemav1.LoadReport{Entry: "killed", Start: 1, Sequence: 1, Targets: []uint32{dispatch.TargetHash("t")}, InFlight: []uint32{4}})
+		Expect(err).NotTo(HaveOccurred())
+		for _, datagram := range [][]byte{[]byte("\xff\xff"), make([]byte, 9000), encoded[:len(encoded)-1], encoded} {
+			_, err := socket.Write(datagram)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		usable := func() bool {
+			choice := choose("u")
+			if choice != nil {
+				h.dispatcher.Finish(h.now(), choice, dispatch.Result{Outcome: dispatch.OutcomeCancelled})
+			}
+			return choice != nil
+		}
+		Eventually(usable).Should(BeFalse())
+		for until := time.Now().Add(1500 * time.Millisecond); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+			h.dispatcher.Finish(h.now(), choose("t"), dispatch.Result{Outcome: dispatch.OutcomeCancelled})
+			h.notifyLoadChanged()
+		}
+		Expect(usable()).To(BeTrue())
+	})
+})
