A body without a length that is cut off on its way ends with a reset for callers of HTTP/1.0

A caller of HTTP/1.0 got a 200 with a part of the body that looked complete: such a caller gets no chunks, so a body without a length ends with the connection, and an aborted response ended with an ordinary close.

Change: a connection whose response would be completed by its end is reset when the response is aborted or the server closes.

--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -57,11 +57,15 @@
 }
 
 // applyAddresses sets a view with a target at each address.
-func applyAddresses(h *Host, addresses []string) {
-	update := &schemav1.ViewUpdate{Version: 1, Full: true, Routes: &schemav1.RouteDocument{Revision: 1}, LeaderKnown: true}
+func applyAddresses(h *Host, addresses []string) { applyRestarted(h, 1, addresses) }
+
+// applyRestarted sets a view with a target at each address, all of them in their start with this number, so that the host knows nothing of
+// their earlier failures.
+func applyRestarted(h *Host, start int64, addresses []string) {
+	update := &schemav1.ViewUpdate{Version: uint64(start), Full: true, Routes: &schemav1.RouteDocument{Revision: 1}, LeaderKnown: true}
 	for i, address := range addresses {
 		update.Targets = append(update.Targets, &schemav1.Registration{
-			Id: "t" + strconv.Itoa(i), StartedUnixMs: 1, Service: "desk", Address: address, DataCentre: "n", Slots: 2, Life: schemav1.Life_LIFE_READY,
+			Id: "t" + strconv.Itoa(i), StartedUnixMs: start, Service: "desk", Address: address, DataCentre: "n", Slots: 2, Life: schemav1.Life_LIFE_READY,
 		})
 	}
 	h.applyUpdate(update, h.now())
--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -41,6 +42,8 @@
 	writer *bufio.Writer
 	ctx    context.Context
 	cancel context.CancelFunc
+	// unfinished is set while a response is written whose body ends with the connection.
+	unfinished atomic.Bool
 
 	mu sync.Mutex
 	// last is the latest exchange, whose response ends after those of all earlier ones; nil before the first.
@@ -359,6 +362,10 @@
 
 // closeGracefully closes the connection so that the caller gets all data that was written.
 func (c *conn) closeGracefully() {
+	if c.unfinished.Load() {
+		c.abort()
+		return
+	}
 	defer c.raw.Close()
 	half, ok := c.raw.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
@@ -369,9 +376,14 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.raw, maxLingerBytes))
 }
 
-// abort closes the connection and cancels its requests.
+// abort closes the connection and cancels its requests. A response that the end of the connection would complete ends with a reset.
 func (c *conn) abort() {
 	c.cancel()
+	if tcp, ok := c.raw.(*net.TCPConn); ok && c.unfinished.Load() {
+		if err := tcp.SetLinger(0); err != nil {
+			klog.InfoS("incomplete response not reset", "caller", c.remote, "err", err)
+		}
+	}
 	c.raw.Close()
 }
 
--- a/pkg/httpserver/exchange.go
+++ b/pkg/httpserver/exchange.go
@@ -130,6 +130,9 @@
 	if err := x.conn.writer.Flush(); x.err == nil {
 		x.err = err
 	}
+	if x.err == nil {
+		x.conn.unfinished.Store(false)
+	}
 	if x.body != nil && x.err == nil && !x.final {
 		x.body.discard()
 	}
@@ -173,6 +176,7 @@
 	if x.remaining < 0 && !x.noBody {
 		x.chunked = x.request.ProtoAtLeast(1, 1)
 		requested = requested || !x.chunked
+		x.conn.unfinished.Store(!x.chunked)
 	}
 	final, err := x.conn.decideClose(x, requested)
 	if err != nil {
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -286,7 +287,7 @@
 		Expect(body).To(Equal("/2"))
 	})
 
-	It("lets an aborted response not look complete", func() {
+	It("lets an aborted response not look complete, also to a caller of HTTP/1.0", func() {
 		for _, length := range []string{"10", ""} {
 			_, address := startServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				if length != "" {
@@ -302,9 +303,34 @@
 			Expect(err).NotTo(HaveOccurred())
 			_, err = io.ReadAll(response.Body)
 			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			old := connect(address)
+			old.send("GET / HTTP/1.0\r\n\r\n")
+			response, err = http.ReadResponse(old.reader, nil)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			Expect(err).To(HaveOccurred())
 		}
 	})
 
+	It("resets a response to a caller of HTTP/1.0 that is written while the server closes", func() {
+		begun := make(chan struct{})
+		server, address := startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, "begin")
+			w.(http.Flusher).Flush()
+			close(begun)
+			<-r.Context().Done()
+		}), nil)
+		c := connect(address)
+		c.send("GET / HTTP/1.0\r\n\r\n")
+		<-begun
+		response, err := http.ReadResponse(c.reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Close()).To(Succeed())
+		_, err = io.ReadAll(response.Body)
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	})
+
 	It("frames bodies of HEAD requests, empty and chunked responses, and of HTTP/1.0", func() {
 		_, address := startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch r.URL.Path {
