--- a/pkg/proxy/faults_test.go
+++ b/pkg/proxy/faults_test.go
@@ -1,9 +1,13 @@
 package proxy_test
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -207,3 +211,48 @@
 	Expect(refusal.Ran).To(Equal(apierr.RunUnknown))
 	Expect(calls.Load()).To(BeEquivalentTo(3))
 })
+
+// Guards against a 200 with an empty or short body that looks complete, after a target has stopped in the middle of its response.
+var _ = DescribeTable("I6: a target that stops in the middle of its response and closes is never taken for one that has answered",
+	func(method, framing, body, proto string) {
+		var cut atomic.Int64
+		response := func(id string) string { return "HTTP/1.1 200 OK\r\nAlmondrock-Request-Id: " + id + "\r\n" + framing }
+		h := hostsWithRawTarget(func(w http.ResponseWriter, r *http.Request) {
+			connection, _, err := w.(http.Hijacker).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			text := response(r.Header.Get(target.HeaderRequestID))
+			_, _ = io.WriteString(connection, text[:min(cut.Load(), int64(len(text)))])
+			connection.Close()
+		})
+		ask := func() (status int, content string, err error) {
+			c, err := net.Dial("tcp", h.ingressAddress)
+			Expect(err).NotTo(HaveOccurred())
+			defer c.Close()
+			_, err = fmt.Fprintf(c, "%s /desk/book %s\r\nHost: a\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", method, proto, target.HeaderKey, key)
+			Expect(err).NotTo(HaveOccurred())
+			got, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+			if err != nil {
+				return 0, "", err
+			}
+			read, err := io.ReadAll(got.Body)
+			return got.StatusCode, string(read), err
+		}
+		end := int64(len(response("00000000-0000-0000-0000-000000000000")))
+		for step := max(1, end/200); cut.Load() < end; cut.Store(min(end, cut.Load()+step)) {
+			status, content, err := ask()
+			if err == nil {
+				Expect(status).To(BeNumerically(">=", 500), "cut after %d of %d bytes, %d bytes arrived", cut.Load(), end, len(content))
+			}
+		}
+		status, content, err := ask()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK), content)
+		Expect(content == body).To(BeTrue())
+	},
+	Entry("length", "POST", "Content-Length: 2\r\n\r\nok", "ok", "HTTP/1.1"),
+	Entry("length, idempotent", "GET", "Content-Length: 2\r\n\r\nok", "ok", "HTTP/1.1"),
+	Entry("length, idempotent, with an entity tag", "GET", "Etag: \"a\"\r\nContent-Length: 2\r\n\r\nok", "ok", "HTTP/1.1"),
+	Entry("chunks and trailers", "POST", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: v\r\n\r\n", "ok", "HTTP/1.1"),
+	Entry("many chunks", "POST", "Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat("10\r\n0123456789abcdef\r\n", 5000)+"0\r\n\r\n", strings.Repeat("0123456789abcdef", 5000), "HTTP/1.1"),
+	Entry("many chunks, to a caller of HTTP/1.0", "POST", "Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat("10\r\n0123456789abcdef\r\n", 5000)+"0\r\n\r\n", strings.Repeat("0123456789abcdef", 5000), "HTTP/1.0"),
+)
