upstream: a refusal that is written once more, later than the next response, is not taken for a second refusal

Callers could be told "not run" for a request that was running, or it could run at a second target: a request for a key is refused, other requests use the connection, and the next attempt of the first request gets the same connection. A copy of the refusal that arrives only then carries the ID that is expected.

Cause: only the ID of the last request of a connection was compared. Change: a connection remembers the hashes of the IDs of all its requests (8 bytes each) and is closed after 512.

Evidence: "takes no repeated refusal for the response to a request that runs", rows "with another request between" and "with many requests between", failed before. The other 13 rows (with the earlier ID, none, an empty one, a part of it, twice, often, as 421, in chunks, without a length, around interim responses, with Connection: close) passed before too: a response without the expected ID is never a proof. The commit also mends a data race of the new tests of responses that are cut off (the place of the cut is atomic now); their checks are the same.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
 
@@ -44,6 +46,9 @@
 	maxStaleBody = 1 << 20
 	// maxStaleResponses is how many responses to earlier requests are skipped before the connection is given up.
 	maxStaleResponses = 2
+	// maxCarriedIDs is the number of requests after which a connection is closed, because it remembers all their IDs in 8 bytes each. One
+	// new connection for so many requests costs next to nothing.
+	maxCarriedIDs = 512
 	// sweepInterval is how often expired idle connections are closed, which is about as often as targets close them.
 	sweepInterval = 2 * time.Second
 	// tcpUserTimeout is how long sent data may stay unacknowledged before the connection is closed.
@@ -116,8 +121,21 @@
 	reused        bool
 	// idleTimeout is how long the connection may be reused after a response; 0 prevents any reuse.
 	idleTimeout time.Duration
-	// lastID is the ID of the last request on the connection.
-	lastID string
+	// carriedIDs has the hashes of the IDs of all requests on the connection.
+	carriedIDs []uint64
+}
+
+// carry records that a request with an ID is sent on the connection.
+func (c *conn) carry(id string) {
+	if id != "" {
+		c.carriedIDs = append(c.carriedIDs, xxhash.Sum64String(id))
+	}
+}
+
+// hasCarried reports whether a request with an ID was sent on the connection before. A late second copy of the response to it could not be
+// told from the response to the next attempt.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carriedIDs, xxhash.Sum64String(id))
 }
 
 // reset closes the connection and discards data that was written but not delivered. An ordinary close would keep sending it,
@@ -181,7 +199,7 @@
 	if err != nil {
 		return nil, &Error{Stage: NotSent, Address: r.Address, Cause: err}
 	}
-	cn.lastID = r.ID
+	cn.carry(r.ID)
 	stop := context.AfterFunc(ctx, cn.reset)
 	fail := func(stage Stage, err error) (*Response, error) {
 		stop()
@@ -233,8 +251,7 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection that can be reused for the request with an ID, or nil. Connections
-// that have expired or been closed, or on which data arrived without a request, are closed. So is one whose last request had the
-// same ID, because a late second copy of that response could not be told from the response to this request.
+// that have expired or been closed, on which data arrived without a request, or which carried a request with the same ID, are closed.
 func (c *Client) takeIdle(poolKey, id string) *conn {
 	now := time.Now()
 	for {
@@ -247,8 +264,7 @@
 		cn := list[len(list)-1]
 		c.idle[poolKey] = list[:len(list)-1]
 		c.mu.Unlock()
-		repeated := id != "" && cn.lastID == id
-		if !repeated && now.Before(cn.reusableUntil) && cn.reader.Buffered() == 0 && sockets.IsOpenAndIdle(cn.Conn) {
+		if !cn.hasCarried(id) && now.Before(cn.reusableUntil) && cn.reader.Buffered() == 0 && sockets.IsOpenAndIdle(cn.Conn) {
 			cn.reused = true
 			return cn
 		}
@@ -457,7 +473,7 @@
 
 // reusable reports whether the connection is at a clean message boundary and may carry another request.
 func (r *Response) reusable() bool {
-	if r.Close || r.conn.idleTimeout == 0 || r.conn.reader.Buffered() > 0 || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
+	if r.Close || r.conn.idleTimeout == 0 || len(r.conn.carriedIDs) >= maxCarriedIDs || r.conn.reader.Buffered() > 0 || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
 		return false
 	}
 	if r.written == nil {
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -61,6 +61,15 @@
 	}
 }
 
+// manyIDs returns 400 different IDs, and the first of them once more at the end.
+func manyIDs() []string {
+	var ids []string
+	for i := range 400 {
+		ids = append(ids, strconv.Itoa(1+i))
+	}
+	return append(ids, ids[0])
+}
+
 func responseText(id, body string) string {
 	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
@@ -141,6 +150,14 @@
 		Expect(c.Dials()).To(BeEquivalentTo(1))
 	})
 
+	It("closes a connection that has carried more IDs than it remembers", func() {
+		address := serveResponses(func(r *http.Request, _ string) string { return responseText(r.Header.Get("Request-Id"), "ok") })
+		for i := range 2 * maxCarriedIDs {
+			Expect(sendAndRead(c, newRequest(address, strconv.Itoa(i)))).To(Equal("ok"))
+		}
+		Expect(c.Dials()).To(BeEquivalentTo(2))
+	})
+
 	It("skips a late second response to the previous request and returns the one that matches", func() {
 		last := ""
 		address := serveResponses(func(r *http.Request, _ string) string {
@@ -206,6 +223,78 @@
 		Expect(sendAndRead(c, newRequest(address, "1"))).To(Equal("second"))
 	})
 
+	// Guards against an earlier refusal that is written once more, anywhere, and taken for the answer to a request that runs (REFUSED, TWICE).
+	DescribeTable("takes no repeated refusal for the response to a request that runs",
+		func(ids []string, repeated func(refusal string) string) {
+			refusal := func(id string) string {
+				return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+			}
+			address := serveConnections(func(c net.Conn, reader *bufio.Reader) {
+				for n := 1; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					id := r.Header.Get("Request-Id")
+					switch {
+					case r.Header.Get("Refuse") != "":
+						_, _ = io.WriteString(c, refusal(id))
+					case n > 1 && r.Header.Get("Last") != "":
+						_, _ = io.WriteString(c, repeated(refusal("1"))+responseText(id, "own"))
+					default:
+						_, _ = io.WriteString(c, responseText(id, "own"))
+					}
+				}
+			})
+			for i, id := range ids {
+				r := newRequest(address, id)
+				if i == 0 {
+					r.Header.Set("Refuse", "1")
+				}
+				if i == len(ids)-1 {
+					r.Header.Set("Last", "1")
+				}
+				r.Deadline = time.Now().Add(300 * time.Millisecond)
+				response, err := c.Send(context.Background(), r)
+				if i == len(ids)-1 && err != nil {
+					var failed *Error
+					Expect(errors.As(err, &failed)).To(BeTrue())
+					Expect(failed.Stage).NotTo(Equal(NotSent), "the request may have run")
+					return
+				}
+				Expect(err).NotTo(HaveOccurred())
+				body, _, err := response.ReadAll(100)
+				Expect(err).NotTo(HaveOccurred())
+				response.Finish()
+				if i > 0 {
+					Expect(response.Header).NotTo(HaveKey("Not-Executed"))
+					Expect(string(body)).To(Equal("own"))
+				}
+			}
+		},
+		Entry("with the ID of the request before", []string{"1", "2"}, func(refusal string) string { return refusal }),
+		Entry("twice", []string{"1", "2"}, func(refusal string) string { return refusal + refusal }),
+		Entry("often", []string{"1", "2"}, func(refusal string) string { return strings.Repeat(refusal, 9) }),
+		Entry("of the same request", []string{"1", "1"}, func(refusal string) string { return refusal }),
+		Entry("of the same request, with another request between", []string{"1", "2", "1"}, func(refusal string) string { return refusal }),
+		Entry("of the same request, with many requests between", manyIDs(), func(refusal string) string { return refusal }),
+		Entry("without an ID", []string{"1", "2"}, func(refusal string) string { return strings.Replace(refusal, "Request-Id: 1\r\n", "", 1) }),
+		Entry("with an empty ID", []string{"1", "2"}, func(refusal string) string { return strings.Replace(refusal, "Request-Id: 1", "Request-Id:", 1) }),
+		Entry("with a part of the ID", []string{"12", "11"}, func(refusal string) string { return refusal }),
+		Entry("as a misdirected request", []string{"1", "2"}, func(refusal string) string { return strings.Replace(refusal, "503", "421", 1) }),
+		Entry("without a length", []string{"1", "2"}, func(refusal string) string { return strings.Replace(refusal, "Content-Length: 0\r\n", "", 1) }),
+		Entry("in chunks", []string{"1", "2"}, func(refusal string) string {
+			return strings.Replace(refusal, "Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 1)
+		}),
+		Entry("after an interim response", []string{"1", "2"}, func(refusal string) string {
+			return "HTTP/1.1 103 Early Hints\r\nRequest-Id: 2\r\nNot-Executed: 1\r\n\r\n" + refusal
+		}),
+		Entry("as an interim response", []string{"1", "2"}, func(string) string { return "HTTP/1.1 100 Continue\r\nRequest-Id: 2\r\nNot-Executed: 1\r\n\r\n" }),
+		Entry("before a response that closes", []string{"1", "2"}, func(refusal string) string {
+			return strings.Replace(refusal, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
+		}),
+	)
+
 	It("does not reuse a connection on which more than the response arrived", func() {
 		address := serveResponses(func(r *http.Request, _ string) string {
 			return responseText(r.Header.Get("Request-Id"), "ok") + "HTTP/1.1 200 OK\r\n"
--- a/pkg/upstream/cut_test.go
+++ b/pkg/upstream/cut_test.go
@@ -7,22 +7,20 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-// serveThenClose starts a target that writes text as the response to each request and closes the connection, by a reset if reset is set.
-func serveThenClose(text func() string, reset bool) (address string) {
+// serveThenClose starts a target that writes text as the response to each request and closes the connection.
+func serveThenClose(text func() string) (address string) {
 	return serveConnections(func(c net.Conn, r *bufio.Reader) {
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
 		_, _ = io.WriteString(c, text())
-		if reset {
-			_ = c.(*net.TCPConn).SetLinger(0)
-		}
 	})
 }
 
@@ -36,9 +34,10 @@
 			if closeDelimited {
 				end = len(response) - len(body)
 			}
-			cut := 0
-			address := serveThenClose(func() string { return response[:cut] }, false)
-			for ; cut < end; cut++ {
+			var stop atomic.Int64
+			address := serveThenClose(func() string { return response[:stop.Load()] })
+			for cut := range end {
+				stop.Store(int64(cut))
 				client := New(Options{IDHeader: "Request-Id"})
 				r := newRequest(address, "1")
 				r.Method = method
@@ -54,7 +53,7 @@
 			}
 			r := newRequest(address, "1")
 			r.Method = method
-			cut = len(response)
+			stop.Store(int64(len(response)))
 			Expect(sendAndRead(New(Options{IDHeader: "Request-Id"}), r)).To(Equal(body))
 		},
 		Entry("length", "GET", head+"Content-Length: 1234\r\n\r\n"+strings.Repeat("b", 1234), strings.Repeat("b", 1234), false),
@@ -75,25 +74,25 @@
 
 	It("is a failure wherever a reset stops a body that the end of the connection would end", func() {
 		const response = head + "\r\nall of it"
-		cut := 0
+		var cut atomic.Int64
 		address := serveConnections(func(c net.Conn, r *bufio.Reader) {
 			if _, err := http.ReadRequest(r); err != nil {
 				return
 			}
-			_, _ = io.WriteString(c, response[:cut])
+			_, _ = io.WriteString(c, response[:cut.Load()])
 			// The reset must not overtake the bytes.
 			time.Sleep(5 * time.Millisecond)
 			_ = c.(*net.TCPConn).SetLinger(0)
 		})
-		for ; cut <= len(response); cut++ {
+		for ; cut.Load() <= int64(len(response)); cut.Add(1) {
 			_, err := sendAndRead(New(Options{IDHeader: "Request-Id"}), newRequest(address, "1"))
-			Expect(err).To(HaveOccurred(), "reset after %d bytes", cut)
+			Expect(err).To(HaveOccurred(), "reset after %d bytes", cut.Load())
 		}
 	})
 
 	DescribeTable("is a failure with a head that looks like its end",
 		func(response string) {
-			_, err := sendAndRead(New(Options{IDHeader: "Request-Id"}), newRequest(serveThenClose(func() string { return response }, false), "1"))
+			_, err := sendAndRead(New(Options{IDHeader: "Request-Id"}), newRequest(serveThenClose(func() string { return response }), "1"))
 			Expect(err).To(HaveField("Stage", InvalidResponse))
 		},
 		Entry("a bare carriage return", head+"\r"),
@@ -113,7 +112,7 @@
 	)
 
 	It("is a failure for an interim response without a further one", func() {
-		_, err := sendAndRead(New(Options{IDHeader: "Request-Id"}), newRequest(serveThenClose(func() string { return "HTTP/1.1 103 Early Hints\r\nRequest-Id: 1\r\n\r\n" }, false), "1"))
+		_, err := sendAndRead(New(Options{IDHeader: "Request-Id"}), newRequest(serveThenClose(func() string { return "HTTP/1.1 103 Early Hints\r\nRequest-Id: 1\r\n\r\n" }), "1"))
 		Expect(err).To(HaveField("Stage", Sent))
 	})
 })
