platform: a copy of the answer to an earlier call is not taken for the answer to a renewal of a grant

Keys could get two owners: a renewal counts as confirmed by a late second copy of the answer to the one before; it has got no answer itself and is carried out seconds later, after the release, when the keys belong to another target. A copy of a 409 raised the fence without need.

An answer with another ID is skipped, and one without an ID too once the target has echoed one on that connection; a target that echoes none is treated as before.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -60,6 +60,9 @@
 	// IDHeader is the request header that targets echo, so that a response can be matched with its request; empty turns
 	// the check off.
 	IDHeader string
+	// IDOptional accepts responses without an ID, for targets that may not echo it. A response with another ID is never accepted, nor is
+	// one without an ID after one that had it on the same connection.
+	IDOptional bool
 	// DialTimeout bounds the opening of a connection; DefaultDialTimeout when 0.
 	DialTimeout time.Duration
 	// ReceiveBuffer is the size in bytes of the receive buffer of connections, which bounds what a target sends ahead of the reader. 0
@@ -121,6 +124,8 @@
 	reused        bool
 	// idleTimeout is how long the connection may be reused after a response; 0 prevents any reuse.
 	idleTimeout time.Duration
+	// echoesIDs is set once a response on the connection had the ID of its request.
+	echoesIDs bool
 	// carriedIDs has the hashes of the IDs of all requests on the connection.
 	carriedIDs []uint64
 }
@@ -403,7 +408,8 @@
 			continue
 		}
 		got := response.Header.Get(c.options.IDHeader)
-		if c.options.IDHeader == "" || r.ID == "" || got == r.ID {
+		if c.options.IDHeader == "" || r.ID == "" || got == r.ID || (got == "" && c.options.IDOptional && !cn.echoesIDs) {
+			cn.echoesIDs = cn.echoesIDs || got != ""
 			cn.unlimitHead()
 			return response, 0, nil
 		}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -295,6 +295,31 @@
 		}),
 	)
 
+	It("accepts responses without an ID where it is optional, but none with another ID, and none once the target has echoed one", func() {
+		responses := make(chan string, 1)
+		address := serveConnections(func(c net.Conn, reader *bufio.Reader) {
+			for {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, strings.Replace(<-responses, "OWN", r.Header.Get("Request-Id"), 1))
+			}
+		})
+		const without, echoed, other = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nRequest-Id: OWN\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nRequest-Id: 0\r\nContent-Length: 0\r\n\r\n"
+		optional := New(Options{IDHeader: "Request-Id", IDOptional: true})
+		for i, step := range []struct {
+			response string
+			accepted bool
+		}{{without, true}, {without, true}, {other, false}, {without, true}, {echoed, true}, {without, false}, {other, false}} {
+			responses <- step.response
+			r := newRequest(address, strconv.Itoa(1+i))
+			r.Deadline = time.Now().Add(100 * time.Millisecond)
+			_, err := sendAndRead(optional, r)
+			Expect(err == nil).To(Equal(step.accepted), "response %d: %v", i, err)
+		}
+	})
+
 	It("does not reuse a connection on which more than the response arrived", func() {
 		address := serveResponses(func(r *http.Request, _ string) string {
 			return responseText(r.Header.Get("Request-Id"), "ok") + "HTTP/1.1 200 OK\r\n"
