target: a copy of the answer to a grant is not taken for the answer to a revocation (two-tier mode)

A shard could get two owners: answers to grants and revocations look the same and carried no ID, so that a late second copy of the answer to a grant ended the shard although its target was still at work for it.

Change: grants and revocations carry Almondrock-Request-Id. An answer with another ID, or with none from a target that has echoed one, is no answer.

--- a/pkg/standin/grants.go
+++ b/pkg/standin/grants.go
@@ -101,7 +101,7 @@
 		s.grants.granted[shardIDOf(grant)] = heldGrant{fence: fence, expires: expires}
 	}
 	s.mu.Unlock()
-	s.writeGrantResponse(w, stale)
+	s.writeGrantResponse(w, r, stale)
 }
 
 func (s *Server) handleRevoke(w http.ResponseWriter, r *http.Request) {
@@ -120,7 +120,7 @@
 		delete(s.grants.granted, shardIDOf(grant))
 	}
 	s.mu.Unlock()
-	s.writeGrantResponse(w, stale)
+	s.writeGrantResponse(w, r, stale)
 }
 
 // maxGrantRequestBytes limits the body of a grant or revocation. 4,096 shards at about 100 bytes each fit easily.
@@ -135,12 +135,13 @@
 	return true
 }
 
-func (s *Server) writeGrantResponse(w http.ResponseWriter, stale bool) {
+func (s *Server) writeGrantResponse(w http.ResponseWriter, r *http.Request, stale bool) {
 	s.mu.Lock()
 	now := s.options.Clock()
 	response := target.GrantResponse{BootID: s.bootID, ClockMs: clockMs(now), HeldGrants: len(s.grants.held(now))}
 	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
 	if stale {
 		w.WriteHeader(http.StatusConflict)
 	}
--- a/pkg/target/grants.go
+++ b/pkg/target/grants.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +33,8 @@
 type grantSender struct {
 	sending   atomic.Bool
 	sendAgain atomic.Bool
+	// echoesIDs is set once a response had the ID of its call. From then on one without an ID is not accepted.
+	echoesIDs atomic.Bool
 
 	mu sync.Mutex
 	// bootID is the boot id in the last response.
@@ -180,11 +184,20 @@
 		return nil, 0, merry.Wrap(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	id := strconv.FormatUint(rand.Uint64(), 16)
+	request.Header.Set(HeaderRequestID, id)
 	exchange, err := a.send(request, nil)
 	if err != nil {
 		return nil, 0, err
 	}
 	defer exchange.Response.Body.Close()
+	if got := exchange.Response.Header.Get(HeaderRequestID); got != id && (got != "" || a.grantSender.echoesIDs.Load()) {
+		// A late second copy of the response to an earlier call.
+		exchange.Discard()
+		return nil, 0, merry.Wrap(errInvalidGrantResponse)
+	} else if got == id {
+		a.grantSender.echoesIDs.Store(true)
+	}
 	response := &GrantResponse{}
 	if err := json.NewDecoder(io.LimitReader(exchange.Response.Body, maxGrantResponseBytes)).Decode(response); err != nil {
 		exchange.Discard()
--- /dev/null
+++ b/pkg/target/repeated_test.go
@@ -0,0 +1,67 @@
+package target_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"almondrock.example/almondrock/pkg/target"
+)
+
+// Guards against a shard with two owners: a revocation counts as accepted by a second copy of the answer to an earlier grant.
+var _ = It("I1: a second copy of the answer to a grant does not end the shard at its target", func() {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	var grants, revocations atomic.Int64
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				answer := ""
+				for reader := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					const body = `{"bootId":"b","clockMs":1,"held":1}`
+					switch {
+					case r.URL.Path == target.GrantPath:
+						grants.Add(1)
+						answer = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", target.HeaderRequestID, r.Header.Get(target.HeaderRequestID), len(body), body)
+					case answer != "":
+						// The revocation itself gets no answer: the target is still at work for the shard.
+						revocations.Add(1)
+					default:
+						continue
+					}
+					if _, err := io.WriteString(c, answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	r := newRig(nil)
+	r.record = proto.CloneOf(r.record)
+	r.record.Announcement.Address = listener.Addr().String()
+	r.sync(shardRecord(7, owned, 5))
+	r.begin(routedKey(7, 1, 5)).End()
+	Expect(grants.Load()).NotTo(BeZero())
+	r.sync(shardRecord(7, moving, 5))
+	Eventually(revocations.Load).ShouldNot(BeZero())
+	Consistently(r.releaseCount, 300*time.Millisecond).Should(BeZero())
+})
