target: a request is not counted as possibly run because its connection had just been closed (two-tier mode)

A caller got 504 "outcome unknown" for a request that was sent again after a refusal and reached no target: net/http offers a connection as soon as it has read a response without a body, also if this host then closes it, and the write that failed counted as begun.

Change: nothing is written, and nothing counts as written, on a connection that this host has closed; net/http then takes another one.

Still possible (found by the same test with four senders): a discarded response closes a connection that another request has been given meanwhile, which then counts as lost.

--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -73,6 +73,8 @@
 
 	mu      sync.Mutex
 	current *attempt
+	// ended is set once this host has closed the connection.
+	ended bool
 }
 
 func (c *guardedConn) bind(a *attempt) {
@@ -84,8 +86,12 @@
 // Write implements net.Conn.
 func (c *guardedConn) Write(data []byte) (int, error) {
 	c.mu.Lock()
-	current := c.current
+	current, ended := c.current, c.ended
 	c.mu.Unlock()
+	if ended {
+		// net/http may offer a connection that was closed just before. No byte of the request is written there, so it may be sent elsewhere.
+		return 0, merry.Wrap(net.ErrClosed)
+	}
 	if current != nil {
 		if err := current.beforeWrite(c); err != nil {
 			return 0, err
@@ -97,6 +103,9 @@
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.once.Do(c.closed)
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/pkg/target/repeated_test.go
+++ b/pkg/target/repeated_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -65,3 +67,18 @@
 	Eventually(revocations.Load).ShouldNot(BeZero())
 	Consistently(r.releaseCount, 300*time.Millisecond).Should(BeZero())
 })
+
+// Guards against a request that counts as possibly run, because it was given a connection that this host had closed just before.
+var _ = It("I7: a request after a discarded response is sent over another connection", func() {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	DeferCleanup(server.Close)
+	pool := target.NewPool(target.PoolOptions{MaxIdle: 4})
+	DeferCleanup(pool.Close)
+	for range 1000 {
+		request, err := http.NewRequest(http.MethodPost, server.URL, strings.NewReader("body"))
+		Expect(err).NotTo(HaveOccurred())
+		exchange, err := pool.Send(request, nil)
+		Expect(err).NotTo(HaveOccurred())
+		exchange.Discard()
+	}
+})
