--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +16,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
 
 	"almondrock.example/almondrock/pkg/guard"
@@ -43,6 +46,9 @@
 	maxStaleBody = 1 << 20
 	// maxStaleResponses is how many responses to earlier requests are skipped before the connection is given up.
 	maxStaleResponses = 2
+	// maxCarriedIDs is the number of requests after which a connection is closed, because it remembers all their IDs in 8 bytes each. One
+	// new connection for so many requests costs next to nothing.
+	maxCarriedIDs = 512
 	// sweepInterval is how often expired idle connections are closed, which is about as often as targets close them.
 	sweepInterval = 2 * time.Second
 	// tcpUserTimeout is how long sent data may stay unacknowledged before the connection is closed.
@@ -54,6 +60,9 @@
 	// IDHeader is the request header that targets echo, so that a response can be matched with its request; empty turns
 	// the check off.
 	IDHeader string
+	// IDOptional accepts responses without an ID, for targets that may not echo it. A response with another ID is never accepted, nor is
+	// one without an ID after one that had it on the same connection.
+	IDOptional bool
 	// DialTimeout bounds the opening of a connection; DefaultDialTimeout when 0.
 	DialTimeout time.Duration
 	// ReceiveBuffer is the size in bytes of the receive buffer of connections, which bounds what a target sends ahead of the reader. 0
@@ -115,8 +124,23 @@
 	reused        bool
 	// idleTimeout is how long the connection may be reused after a response; 0 prevents any reuse.
 	idleTimeout time.Duration
-	// lastID is the ID of the last request on the connection.
-	lastID string
+	// echoesIDs is set once a response on the connection had the ID of its request.
+	echoesIDs bool
+	// carriedIDs has the hashes of the IDs of all requests on the connection.
+	carriedIDs []uint64
+}
+
+// carry records that a request with an ID is sent on the connection.
+func (c *conn) carry(id string) {
+	if id != "" {
+		c.carriedIDs = append(c.carriedIDs, xxhash.Sum64String(id))
+	}
+}
+
+// hasCarried reports whether a request with an ID was sent on the connection before. A late second copy of the response to it could not be
+// told from the response to the next attempt.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carriedIDs, xxhash.Sum64String(id))
 }
 
 // reset closes the connection and discards data that was written but not delivered. An ordinary close would keep sending it,
@@ -173,11 +197,14 @@
 // Send sends a request once. Errors are of type *Error. The end of ctx resets the connection, also while the response body is
 // being read.
 func (c *Client) Send(ctx context.Context, r *Request) (*Response, error) {
+	if err := checkHeader(r.Header); err != nil {
+		return nil, &Error{Stage: NotSent, Address: r.Address, Cause: err}
+	}
 	cn, err := c.acquireConn(ctx, r)
 	if err != nil {
 		return nil, &Error{Stage: NotSent, Address: r.Address, Cause: err}
 	}
-	cn.lastID = r.ID
+	cn.carry(r.ID)
 	stop := context.AfterFunc(ctx, cn.reset)
 	fail := func(stage Stage, err error) (*Response, error) {
 		stop()
@@ -229,8 +256,7 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection that can be reused for the request with an ID, or nil. Connections
-// that have expired or been closed, or on which data arrived without a request, are closed. So is one whose last request had the
-// same ID, because a late second copy of that response could not be told from the response to this request.
+// that have expired or been closed, on which data arrived without a request, or which carried a request with the same ID, are closed.
 func (c *Client) takeIdle(poolKey, id string) *conn {
 	now := time.Now()
 	for {
@@ -243,8 +269,7 @@
 		cn := list[len(list)-1]
 		c.idle[poolKey] = list[:len(list)-1]
 		c.mu.Unlock()
-		repeated := id != "" && cn.lastID == id
-		if !repeated && now.Before(cn.reusableUntil) && cn.reader.Buffered() == 0 && sockets.IsOpenAndIdle(cn.Conn) {
+		if !cn.hasCarried(id) && now.Before(cn.reusableUntil) && cn.reader.Buffered() == 0 && sockets.IsOpenAndIdle(cn.Conn) {
 			cn.reused = true
 			return cn
 		}
@@ -275,6 +300,18 @@
 	}
 }
 
+// checkHeader returns an *InvalidHeaderError if a header field could not be sent as it is, or nil.
+func checkHeader(header http.Header) error {
+	for name, values := range header {
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+				return &InvalidHeaderError{Name: name}
+			}
+		}
+	}
+	return nil
+}
+
 // writeRequest writes the request and returns the number of bytes written so far. A long body is written by another goroutine,
 // because the target may respond before it reads the body; written is closed after its last byte and nil for other bodies.
 func writeRequest(cn *conn, r *Request) (written chan struct{}, n int, err error) {
@@ -371,7 +408,8 @@
 			continue
 		}
 		got := response.Header.Get(c.options.IDHeader)
-		if c.options.IDHeader == "" || r.ID == "" || got == r.ID {
+		if c.options.IDHeader == "" || r.ID == "" || got == r.ID || (got == "" && c.options.IDOptional && !cn.echoesIDs) {
+			cn.echoesIDs = cn.echoesIDs || got != ""
 			cn.unlimitHead()
 			return response, 0, nil
 		}
@@ -441,7 +479,7 @@
 
 // reusable reports whether the connection is at a clean message boundary and may carry another request.
 func (r *Response) reusable() bool {
-	if r.Close || r.conn.idleTimeout == 0 || r.conn.reader.Buffered() > 0 || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
+	if r.Close || r.conn.idleTimeout == 0 || len(r.conn.carriedIDs) >= maxCarriedIDs || r.conn.reader.Buffered() > 0 || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
 		return false
 	}
 	if r.written == nil {
