entry: expire the load of silent peers also while this host is busy

Callers: requests were refused as busy, or sent to worse targets, because a target seemed to be taken by requests of an entry host that was killed or cut off. Cause: sendLoadReports expired reports of peers only in passes in which the load of this host had not changed. On a host whose load changes in each pass, that is each 15 ms with few peers, the last word of a silent peer counted for as long as the host stayed busy. Change: reports of peers expire in each pass, 1 s after the last one.

--- a/pkg/entry/load_report.go
+++ b/pkg/entry/load_report.go
@@ -79,6 +79,7 @@
 			return
 		}
 		now := h.now()
+		h.dispatcher.ExpirePeers(now)
 		report, changed := h.dispatcher.InFlightReport()
 		due := now-lastSent > reportRepeatInterval
 		if !changed && (!due || lastReportEmpty) {
@@ -88,7 +89,6 @@
 			case <-h.loadChanged:
 			case <-time.After(reportRepeatInterval):
 			}
-			h.dispatcher.ExpirePeers(now)
 			continue
 		}
 		lastSent, lastReportEmpty = now, len(report.GetTargets()) == 0
