host: a host whose lease has run out reports that its group has no leader

Callers: a host of a data centre served nothing for good (not ready, no host lease) after its group had lost its majority and continued in the next generation, if it was a learner of the group. Cause: a host polls the control group itself only while its replica knows no leader. A learner, which never campaigns, knows the last leader for ever: it didn't poll, counted as not live, and learned of no later generation. Conclusion: real fault in the two-tier mode, found by reading.

--- a/pkg/host/controlclient.go
+++ b/pkg/host/controlclient.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/internal/monotonic"
+	"almondrock.example/almondrock/pkg/replication"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -140,7 +141,7 @@
 	request.Generation = g.table.Generation()
 	request.KnownIndex = g.table.ControlView().GetIndex()
 	status := g.replica.Status()
-	request.HasLeader = status.LeaderID != 0 && !status.Sealed
+	request.HasLeader = h.hasGroupLeader(status)
 	driver, leads := g.leads()
 	if !leads {
 		if request.GetHasLeader() {
@@ -155,6 +156,19 @@
 	return request
 }
 
+// groupLeaderTimeout is how long after the end of its lease a host still relies on the leader that its replica knows. Together with the
+// lease it is longer than an election, after which the new leader grants a lease.
+const groupLeaderTimeout = 1500 * time.Millisecond
+
+// hasGroupLeader reports whether the data centre group has a leader as far as this host knows. That the replica knows a leader is not
+// enough: a learner and a removed member know the last one for ever.
+func (h *Host) hasGroupLeader(status replication.Status) bool {
+	if status.LeaderID == 0 || status.Sealed {
+		return false
+	}
+	return status.LeaderID == h.identity || h.lease.Remaining() > -groupLeaderTimeout
+}
+
 func (h *Host) poll(ctx context.Context, request *schemav1.PollRequest) {
 	response := &schemav1.PollResponse{}
 	if err := h.callControl(ctx, methodPoll, request, response, response.GetAnswered); err != nil {
