registrar: accept calls at another address than the one that other hosts use

Cause: a registry host listened at the address that it tells others, so that nothing could stand between them: no port forwarder, and in the soak no proxy that cuts one registry host off from the others. Conclusion: behaviour without the setting is the same.

--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -64,6 +65,8 @@
 	Regions map[string]string
 	// PeerAddress is the address for calls from other hosts, AnnounceAddress the one for announcements of targets.
 	PeerAddress, AnnounceAddress string
+	// ListenAddress is the address at which this host accepts calls from other hosts; empty if it is PeerAddress.
+	ListenAddress string
 	// Seeds are the peer addresses of some registry hosts.
 	Seeds []string
 	// Bootstrap is set when the whole deployment starts for the first time. The seeds then form the group.
@@ -165,7 +168,7 @@
 
 // Start listens for calls from other hosts and joins the group in the background.
 func (r *Registrar) Start() error {
-	listener, err := net.Listen("tcp", r.options.PeerAddress)
+	listener, err := net.Listen("tcp", cmp.Or(r.options.ListenAddress, r.options.PeerAddress))
 	if err != nil {
 		return merry.Wrap(err)
 	}
