registrar: refuse an unknown service with 503 while the configuration may be outdated

Targets: a registry host that was cut off told a target for good (400) that its service does not exist, though a change had added it. On the platform a target then asks another host, as after a 503. Cause: the answer came from the host's own configuration, of whatever age. Change: ErrOutdated, and so 503, while the state of the host is not up to date.

--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -60,7 +60,11 @@
 			Name: fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
 			DataDir: GinkgoT().TempDir(),
 			Decode: func(d *schemav1.RouteDocument) (*routes.Configuration, error) {
-				return &routes.Configuration{Revision: d.GetRevision()}, nil
+				c := &routes.Configuration{Revision: d.GetRevision(), Services: map[string]routes.Service{}}
+				if c.Revision > 1 {
+					c.Services["added"] = routes.Service{Name: "added"}
+				}
+				return c, nil
 			},
 		})
 		Expect(err).NotTo(HaveOccurred())
@@ -146,3 +150,28 @@
 		Eventually(says, "10s").WithArguments(cut).Should(BeTrue())
 	})
 })
+
+var _ = It("does not refuse a target for good whose service it may only not know yet", func() {
+	// Guards against a registry host that is cut off and tells a target that its service does not exist, after a change has added it.
+	p := &partition{}
+	hosts := startGroup(p)
+	submit := func(revision uint64) {
+		GinkgoHelper()
+		document := &schemav1.RouteDocument{Revision: revision, Body: []byte("{}")}
+		Eventually(func() error { return hosts[0].SubmitConfiguration(context.Background(), document) }, "10s").Should(Succeed())
+	}
+	cut := hosts[3]
+	announce := func() error {
+		_, err := cut.Announce(context.Background(), &schemav1.Registration{Id: "t", Service: "added", StartedUnixMs: 1, Life: schemav1.Life_LIFE_READY}, 1)
+		return err
+	}
+	submit(1)
+	Eventually(announce, "10s").Should(MatchError(ErrUnknownService))
+	p.address.Store(&cut.options.PeerAddress)
+	cutAt := time.Now()
+	submit(2)
+	Eventually(announce, maxStaleClaim-time.Since(cutAt), "20ms").Should(MatchError(ErrOutdated))
+	Consistently(announce, "1s", "100ms").Should(MatchError(ErrOutdated))
+	p.address.Store(nil)
+	Eventually(announce, "10s").Should(Succeed())
+})
--- a/pkg/registrar/errors.go
+++ b/pkg/registrar/errors.go
@@ -10,6 +10,8 @@
 	ErrNoConfiguration = merry.Sentinel("there is no configuration yet")
 	// ErrUnknownService means that the configuration has no service of this name.
 	ErrUnknownService = merry.Sentinel("the service is not part of the configuration")
+	// ErrOutdated means that this host may lack the configuration that has the service.
+	ErrOutdated = merry.Sentinel("the configuration of this host may be outdated")
 	// ErrNotJoined means that this host is not a member of the group yet.
 	ErrNotJoined = merry.Sentinel("this host has not joined the registry yet")
 )
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -290,6 +290,9 @@
 		return "", merry.Wrap(ErrNoConfiguration)
 	}
 	if _, ok := configuration.Services[target.GetService()]; !ok {
+		if !r.isUpToDate() {
+			return "", merry.Wrap(ErrOutdated)
+		}
 		return "", merry.Wrap(ErrUnknownService)
 	}
 	known, _ := r.state.Target(target.GetId())
