ownership: answer announcements only with the leader lease

Targets: the leader of a data centre group that was cut off or stopped for a while accepted announcements that were then lost, such as that a target drains, and refused for good (400) a target that had moved, because its own table still had the old address. Cause: Announce was the only call of the driver that did not look at the leader lease. Callers of Announce in tests check the error now, except in the simulation, whose leaders may lack the lease. Conclusion: real fault in the two-tier mode, found by reading; targets that announce themselves each second recover from it.

--- a/pkg/host/groupservice.go
+++ b/pkg/host/groupservice.go
@@ -120,7 +120,8 @@
 	if !leads {
 		return &schemav1.AnnounceResponse{LeaderAddress: g.replica.Status().LeaderAddress}, nil
 	}
-	return &schemav1.AnnounceResponse{Answered: true, Accepted: driver.Announce(h.clock(), request.GetAnnouncement())}, nil
+	accepted, err := driver.Announce(h.clock(), request.GetAnnouncement())
+	return &schemav1.AnnounceResponse{Answered: err == nil, Accepted: accepted}, err
 }
 
 // handleSeal permanently ends this host's membership in a generation and returns the generation's state.
--- a/pkg/ownership/driver_test.go
+++ b/pkg/ownership/driver_test.go
@@ -53,7 +53,8 @@
 		for _, record := range s.table.Targets() {
 			if s.now%time.Second == 0 && !s.muted[record.Announcement.Target] {
 				s.sequence++
-				s.driver.Announce(s.now, announcement(record.Announcement.Target, record.Announcement.BootId, s.sequence))
+				_, err := s.driver.Announce(s.now, announcement(record.Announcement.Target, record.Announcement.BootId, s.sequence))
+				Expect(err).NotTo(HaveOccurred())
 			}
 		}
 		s.step()
@@ -125,11 +126,29 @@
 		Expect(s.step()).To(BeEmpty(), "a stable table needs no commands")
 	})
 
+	// Guards against a leader that is cut off or was stopped for a while and still answers announcements: one that it accepted was lost, and
+	// one that contradicts its old table was refused for good.
+	It("answers no announcement without the leader lease", func() {
+		s := newTestLeader(1, 4)
+		Expect(s.renew("h1", 1)).To(BeTrue())
+		Expect(s.driver.Announce(s.now, announcement("t1", "b1", 1))).To(BeTrue())
+		s.step()
+		s.holdsLeaderLease = false
+		draining, moved := announcement("t1", "b1", 2), announcement("t1", "b2", 1)
+		draining.Draining, moved.Address = true, "elsewhere:80"
+		for _, a := range []*schemav1.Announcement{draining, moved} {
+			_, err := s.driver.Announce(s.now, a)
+			Expect(err).To(MatchError(ownership.ErrNoLeaderLease))
+		}
+		s.holdsLeaderLease = true
+		Expect(s.driver.Announce(s.now, draining)).To(BeTrue())
+	})
+
 	// A process without the leader lease must not grant leases, and a process that is not the host it claims to be must not get
 	// one (I1).
 	It("I1: refuses leases and commands without the leader lease", func() {
 		s := newTestLeader(1, 4)
-		s.driver.Announce(s.now, announcement("t1", "b1", 1))
+		Expect(s.driver.Announce(s.now, announcement("t1", "b1", 1))).To(BeTrue())
 		s.holdsLeaderLease = false
 		Expect(s.renew("h1", 1)).To(BeFalse())
 		Expect(s.step()).To(BeEmpty())
--- a/pkg/ownership/observations.go
+++ b/pkg/ownership/observations.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -188,29 +190,36 @@
 	return ok && record.AttachedHost == key.name && record.AttachedIdentity == key.identity
 }
 
+// ErrNoLeaderLease means that this process does not hold the leader lease, so that another one may lead the group.
+var ErrNoLeaderLease = merry.Sentinel("the leader lease is not held")
+
 // Announce processes a target's announcement, which any host of the data centre may have received, and returns whether it was
-// accepted. Only announcements that change the target's record become commands; the others just show that the target is alive.
-func (d *Driver) Announce(now time.Duration, announcement *schemav1.Announcement) bool {
+// accepted. Only announcements that change the target's record become commands; the others just show that the target is alive. Without the
+// leader lease it returns ErrNoLeaderLease, because the table may be outdated and commands are not proposed.
+func (d *Driver) Announce(now time.Duration, announcement *schemav1.Announcement) (bool, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.options.HoldsLeaderLease() {
+		return false, merry.Wrap(ErrNoLeaderLease)
+	}
 	d.observeTable(now)
 	if !d.table.Accepts(announcement) {
-		return false
+		return false, nil
 	}
 	record, known := d.table.Target(announcement.Target)
 	if !known || record.Announcement.BootId != announcement.BootId {
 		d.pendingAnnouncements[announcement.Target] = announcement
-		return true
+		return true, nil
 	}
 	observed := d.targets[announcement.Target]
 	if announcement.Sequence <= observed.sequence {
-		return false
+		return false, nil
 	}
 	observed.sequence, observed.announcedAt = announcement.Sequence, now
 	if record.Lost || announcementChanged(record.Announcement, announcement) {
 		d.pendingAnnouncements[announcement.Target] = announcement
 	}
-	return true
+	return true, nil
 }
 
 // announcementChanged reports whether two announcements of the same boot differ in a field that users of the table need.
--- a/pkg/ownership/simulation_test.go
+++ b/pkg/ownership/simulation_test.go
@@ -255,7 +255,8 @@
 		a.Draining = t.draining
 		deliver := func() {
 			if s.driver != nil && s.leader.running() && !s.leader.cutOff {
-				s.driver.Announce(s.leaderClock(), a)
+				// Without the leader lease it has no effect, and the target announces itself again.
+				_, _ = s.driver.Announce(s.leaderClock(), a)
 			}
 		}
 		s.after(s.delay(), deliver)
