registrar: drop key loads that waited too long for a leader

Cause: a registry host without a leader kept the key loads of its entry hosts, up to 4096 of them and of any age, and sent them all when there was a leader again. The leader counts them as requests of that moment, so that the keys of these hosts seemed several times as busy as they were; busy keys are split and change hands, which has a price. Change: loads that are older than 1.5 s, the time constant of the rates, are dropped.

--- a/pkg/registrar/keyloads.go
+++ b/pkg/registrar/keyloads.go
@@ -17,31 +17,47 @@
 	forwardInterval = 400 * time.Millisecond
 	// maxPendingLoads is the number of key loads that are kept while no leader is known. The oldest ones beyond it are dropped.
 	maxPendingLoads = 4096
+	// maxLoadAge is the age above which key loads are dropped. The leader counts them as requests of the moment that it receives them, and its
+	// rates have a time constant of 1.5 s.
+	maxLoadAge = 1500 * time.Millisecond
 )
 
 // keyLoads has the loads of keys that entry hosts reported to this host and that are not forwarded to the leader yet. On the leader,
 // it has those that were not passed to the grants.Manager yet.
 type keyLoads struct {
 	mu          sync.Mutex
-	pending     []*schemav1.KeyLoad
+	pending     []pendingLoad
 	forwardedAt time.Time
 }
 
-func (l *keyLoads) add(loads []*schemav1.KeyLoad) {
+// pendingLoad is a key load with the time at which it was received.
+type pendingLoad struct {
+	*schemav1.KeyLoad
+	receivedAt time.Time
+}
+
+func (l *keyLoads) add(now time.Time, loads []*schemav1.KeyLoad) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pending = append(l.pending, loads...)
+	for _, load := range loads {
+		l.pending = append(l.pending, pendingLoad{load, now})
+	}
 	if len(l.pending) > maxPendingLoads {
 		l.pending = l.pending[len(l.pending)-maxPendingLoads:]
 	}
 }
 
-// take removes and returns all pending loads.
-func (l *keyLoads) take() []*schemav1.KeyLoad {
+// take removes all pending loads and returns those that are not older than maxLoadAge.
+func (l *keyLoads) take(now time.Time) []*schemav1.KeyLoad {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	loads := l.pending
-	l.pending, l.forwardedAt = nil, time.Now()
+	var loads []*schemav1.KeyLoad
+	for _, load := range l.pending {
+		if now.Sub(load.receivedAt) <= maxLoadAge {
+			loads = append(loads, load.KeyLoad)
+		}
+	}
+	l.pending, l.forwardedAt = nil, now
 	return loads
 }
 
@@ -53,7 +69,7 @@
 }
 
 func (r *Registrar) handleKeyLoads(_ context.Context, request *schemav1.KeyLoads) (*schemav1.KeyLoadsAnswer, error) {
-	r.keyLoads.add(request.GetLoads())
+	r.keyLoads.add(time.Now(), request.GetLoads())
 	return &schemav1.KeyLoadsAnswer{}, nil
 }
 
@@ -62,7 +78,7 @@
 	if leader == "" || !r.keyLoads.due() {
 		return
 	}
-	loads := mergeLoads(r.keyLoads.take())
+	loads := mergeLoads(r.keyLoads.take(time.Now()))
 	r.start("forward key loads", func() {
 		if err := r.call(leader, methodKeyLoads, &schemav1.KeyLoads{Loads: loads}, &schemav1.KeyLoadsAnswer{}); err != nil {
 			klog.V(1).InfoS("key loads not forwarded to leader", "leader", leader, "err", err)
--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -44,7 +44,7 @@
 		l.manager = grants.New(r.state, r, r.options.Granter, func() time.Duration { return time.Since(r.started) })
 	}
 	l.changeMembership(status)
-	for _, load := range r.keyLoads.take() {
+	for _, load := range r.keyLoads.take(time.Now()) {
 		for i, bucket := range load.GetBuckets() {
 			if i < len(load.GetCounts()) {
 				l.manager.RecordRequests(load.GetService(), bucket, load.GetCounts()[i])
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -188,7 +188,7 @@
 	}
 	received := time.Now()
 	r.watchers.markSeen(request.GetEntry().GetName())
-	r.keyLoads.add(request.GetKeyLoads())
+	r.keyLoads.add(received, request.GetKeyLoads())
 	r.addEntryHost(request.GetEntry())
 	if !request.GetAtOnce() {
 		r.awaitUpdate(ctx, request.GetVersion())
