registrar: commit what a cold target announces to a host that is not up to date

Targets: one that was cold, warm and cold again got an acknowledgement for the last announcement from a registry host that was cut off since the first, and no other host learned of it: entry hosts went on to send it as many requests as to a warm one (FAILBACK). Cause: an announcement that repeats the host's registration was answered without a commit, whatever the age of that registration. Change: while a registry host is not up to date, it commits what cold targets announce, and so refuses it with 503 when it is cut off. Other fields do not change back within one start of a target, and its life only advances. Entry hosts still answer repeated announcements by a view of any age, because all cold targets of a large deployment would else turn to the registry hosts while these elect a leader. Conclusion: real fault, rare: it needs a target that returns to the host within one cut.

--- a/pkg/entry/announce.go
+++ b/pkg/entry/announce.go
@@ -27,7 +27,9 @@
 	if v == nil || h.shuttingDown.Load() {
 		return "", merry.Wrap(ErrNoRelay)
 	}
-	if !h.announcements.NeedsCommit(v.targets[target.GetId()], target, sequence) {
+	// Otherwise all cold targets of a large deployment would turn to the registry hosts while these elect a leader.
+	const upToDate = true
+	if !h.announcements.NeedsCommit(v.targets[target.GetId()], target, sequence, upToDate) {
 		return "", nil
 	}
 	return "", h.passOn(ctx, &schemav1.TargetAnnouncement{Registration: target, Sequence: sequence})
--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -175,3 +175,32 @@
 	p.address.Store(nil)
 	Eventually(announce, "10s").Should(Succeed())
 })
+
+var _ = It("acknowledges that a target is cold again only when all hosts know it", func() {
+	// Guards against a cold target that gets as many requests as a warm one (FAILBACK): the host that is cut off still has the registration of
+	// the first time that the target was cold, and took the second announcement for a repeated one.
+	p := &partition{}
+	hosts := startGroup(p)
+	document := &schemav1.RouteDocument{Revision: 2, Body: []byte("{}")}
+	Eventually(func() error { return hosts[0].SubmitConfiguration(context.Background(), document) }, "10s").Should(Succeed())
+	cut := hosts[3]
+	announce := func(r *Registrar, sequence uint64, cold bool) error {
+		_, err := r.Announce(context.Background(), &schemav1.Registration{
+			Id: "t", Service: "added", Address: "10.0.0.1:1", StartedUnixMs: 1, Life: schemav1.Life_LIFE_READY, Cold: cold,
+		}, sequence)
+		return err
+	}
+	isCold := func(r *Registrar) bool {
+		target, _ := r.state.Target("t")
+		return target.GetCold()
+	}
+	Eventually(announce, "10s").WithArguments(hosts[0], uint64(1), true).Should(Succeed())
+	Eventually(isCold, "10s").WithArguments(cut).Should(BeTrue())
+	p.address.Store(&cut.options.PeerAddress)
+	Eventually(announce, "10s").WithArguments(hosts[0], uint64(2), false).Should(Succeed())
+	Eventually(says, "10s").WithArguments(cut).Should(BeFalse())
+	Expect(announce(cut, 3, true)).NotTo(Succeed())
+	p.address.Store(nil)
+	Eventually(announce, "10s").WithArguments(cut, uint64(4), true).Should(Succeed())
+	Expect(isCold(hosts[0]) || isCold(hosts[1])).To(BeTrue())
+})
--- a/pkg/registry/announcement.go
+++ b/pkg/registry/announcement.go
@@ -31,9 +31,13 @@
 
 // NeedsCommit reports whether an announcement changes the known registration of its target, which is nil if there is none. An outdated one
 // still does if it says that the target drains or is gone: the life only advances, and the later announcement may not have been committed.
-func (a *AnnouncementOrder) NeedsCommit(known, target *schemav1.Registration, sequence uint64) bool {
-	outdated := a.isOutdated(target, sequence)
-	return Supersedes(known, target) && (!outdated || target.GetLife() > schemav1.Life_LIFE_READY)
+// One of a cold target may also do so if it repeats a registration that is not known to be up to date, because the target may have been warm
+// since.
+func (a *AnnouncementOrder) NeedsCommit(known, target *schemav1.Registration, sequence uint64, upToDate bool) bool {
+	if a.isOutdated(target, sequence) {
+		return Supersedes(known, target) && target.GetLife() > schemav1.Life_LIFE_READY
+	}
+	return Supersedes(known, target) || target.GetCold() && !upToDate
 }
 
 // isOutdated reports whether an announcement of the same start with a higher sequence number has arrived before. Otherwise it remembers
--- a/pkg/registry/announcement_test.go
+++ b/pkg/registry/announcement_test.go
@@ -15,10 +15,10 @@
 		ready := registration("t", 1, schemav1.Life_LIFE_READY)
 		cold := registration("t", 1, schemav1.Life_LIFE_READY)
 		cold.Cold = true
-		Expect(order.NeedsCommit(cold, ready, 5)).To(BeTrue())
-		Expect(order.NeedsCommit(ready, cold, 4)).To(BeFalse())
-		Expect(order.NeedsCommit(ready, ready, 6)).To(BeFalse())
-		Expect(order.NeedsCommit(ready, registration("t", 2, schemav1.Life_LIFE_READY), 1)).To(BeTrue())
+		Expect(order.NeedsCommit(cold, ready, 5, true)).To(BeTrue())
+		Expect(order.NeedsCommit(ready, cold, 4, true)).To(BeFalse())
+		Expect(order.NeedsCommit(ready, ready, 6, true)).To(BeFalse())
+		Expect(order.NeedsCommit(ready, registration("t", 2, schemav1.Life_LIFE_READY), 1, true)).To(BeTrue())
 	})
 
 	// Guards against an acknowledged target that drains and still gets requests (DRAIN): a later announcement has failed, and an earlier one
@@ -26,9 +26,20 @@
 	It("are committed also when outdated if the target drains and that is not known yet", func() {
 		order := &AnnouncementOrder{}
 		ready, draining := registration("t", 1, schemav1.Life_LIFE_READY), registration("t", 1, schemav1.Life_LIFE_DRAINING)
-		Expect(order.NeedsCommit(ready, draining, 9)).To(BeTrue())
-		Expect(order.NeedsCommit(ready, draining, 8)).To(BeTrue())
-		Expect(order.NeedsCommit(draining, draining, 8)).To(BeFalse())
+		Expect(order.NeedsCommit(ready, draining, 9, true)).To(BeTrue())
+		Expect(order.NeedsCommit(ready, draining, 8, true)).To(BeTrue())
+		Expect(order.NeedsCommit(draining, draining, 8, true)).To(BeFalse())
+	})
+
+	It("of a cold target are committed also when they repeat an outdated registration", func() {
+		order := &AnnouncementOrder{}
+		cold := registration("t", 1, schemav1.Life_LIFE_READY)
+		cold.Cold = true
+		Expect(order.NeedsCommit(cold, cold, 5, true)).To(BeFalse())
+		Expect(order.NeedsCommit(cold, cold, 6, false)).To(BeTrue())
+		Expect(order.NeedsCommit(cold, cold, 5, false)).To(BeFalse())
+		ready := registration("t", 1, schemav1.Life_LIFE_READY)
+		Expect(order.NeedsCommit(ready, ready, 7, false)).To(BeFalse())
 	})
 
 	// Guards against registry hosts that spend their processor time on announcements (sweep at 300 hosts: 3,000 targets, 4 registry hosts).
