control: ask members before they are sealed

Callers: a host of a data centre served nothing until it was restarted, if it had polled once without a leader, after a pause or an election, while the leader of its group did not reach the control group. Cause: the control group believed the one host that polled, and sealed it before it knew whether the group had ended. The other members could go on, so that there was no next generation, and a sealed member takes no part in the present one. Change: the live hosts are first asked for their voters, with SealRequest.only_ask; none is sealed if the others could commit without them. Conclusion: real fault in the two-tier mode, found by reading.

--- a/pkg/control/generation.go
+++ b/pkg/control/generation.go
@@ -14,8 +14,8 @@
 // take at most a few hundred milliseconds, so a longer time without leader means that the majority is lost.
 const leaderlessDelay = 1500 * time.Millisecond
 
-// Sealer seals a member of a data centre group: a sealed member never takes part in the generation again. The response contains
-// the state of the member.
+// Sealer seals a member of a data centre group, or asks whether it could: a sealed member never takes part in the generation again.
+// The response contains the state of a sealed member.
 type Sealer interface {
 	Seal(ctx context.Context, address string, request *schemav1.SealRequest) (*schemav1.SealResponse, error)
 }
@@ -83,18 +83,19 @@
 }
 
 // PrepareNextGeneration seals those members of group that run on live hosts and can be reached. It returns the assignment of
-// the next generation, or nil if the old generation can still commit. The next generation starts from the most advanced sealed
-// state or, if no member could be sealed, from the state that the old one started from. hosts are all known hosts.
+// the next generation, or nil if the old generation can still commit. No member is sealed if the others could commit without
+// those that can be reached, because a sealed member is of no use to its group any more. The next generation starts from the
+// most advanced sealed state or, if no member could be sealed, from the state that the old one started from. hosts are all
+// known hosts.
 func PrepareNextGeneration(ctx context.Context, sealer Sealer, group *schemav1.GroupAssignment, hosts, live []*schemav1.Host) *schemav1.GroupAssignment {
-	responses := sealAll(ctx, sealer, group, live)
-	best := mostAdvanced(responses)
-	voters := group.GetVoters()
-	if best != nil && len(best.GetVoters()) > 0 {
-		voters = best.GetVoters()
+	if goesOn(group, callAll(ctx, sealer, group, live, true), hosts) {
+		return nil
 	}
-	if canStillCommit(voters, stoppedVoters(voters, responses, hosts)) {
+	responses := callAll(ctx, sealer, group, live, false)
+	if goesOn(group, responses, hosts) {
 		return nil
 	}
+	best := mostAdvanced(responses)
 	state := group.GetSealedState()
 	if best != nil {
 		state = best.GetState()
@@ -107,17 +108,26 @@
 	}
 }
 
-// sealAll asks all live hosts at the same time to seal the present generation, and returns the responses of those that did by
-// identity.
-func sealAll(ctx context.Context, sealer Sealer, group *schemav1.GroupAssignment, live []*schemav1.Host) map[uint64]*schemav1.SealResponse {
+// goesOn reports whether the generation can still commit without the members that have responded.
+func goesOn(group *schemav1.GroupAssignment, responses map[uint64]*schemav1.SealResponse, hosts []*schemav1.Host) bool {
+	voters := group.GetVoters()
+	if best := mostAdvanced(responses); len(best.GetVoters()) > 0 {
+		voters = best.GetVoters()
+	}
+	return canStillCommit(voters, stoppedVoters(voters, responses, hosts))
+}
+
+// callAll asks all live hosts at the same time to seal the present generation, or with onlyAsk whether they could, and returns the
+// responses of those that did or could by identity.
+func callAll(ctx context.Context, sealer Sealer, group *schemav1.GroupAssignment, live []*schemav1.Host, onlyAsk bool) map[uint64]*schemav1.SealResponse {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	responses := map[uint64]*schemav1.SealResponse{}
-	request := &schemav1.SealRequest{DataCentre: group.GetDataCentre(), Generation: group.GetGeneration()}
+	request := &schemav1.SealRequest{DataCentre: group.GetDataCentre(), Generation: group.GetGeneration(), OnlyAsk: onlyAsk}
 	for _, host := range live {
 		wait.Go(func() {
 			response, err := sealer.Seal(ctx, host.GetRpcAddress(), request)
-			if err != nil || !response.GetSealed() {
+			if err != nil || !response.GetSealed() && !(onlyAsk && response.GetCouldSeal()) {
 				return
 			}
 			mu.Lock()
--- a/pkg/control/seal_test.go
+++ b/pkg/control/seal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -76,6 +77,29 @@
 	Entry("four of five sealed", []string{"a", "b", "c", "d", "e"}, []string{"a", "b", "c", "d"}, nil, true),
 )
 
+// countingSealer counts the members that were sealed.
+type countingSealer struct {
+	fakeSealer
+	sealed atomic.Int64
+}
+
+func (c *countingSealer) Seal(ctx context.Context, address string, request *schemav1.SealRequest) (*schemav1.SealResponse, error) {
+	if !request.GetOnlyAsk() {
+		c.sealed.Add(1)
+	}
+	return c.fakeSealer.Seal(ctx, address, request)
+}
+
+// Guards against a host that serves nothing until it is restarted: it polled once without a leader while the leader of its group did not reach
+// the control group, and was sealed although the group went on.
+var _ = It("seals no member of a group that goes on without it", func() {
+	group := &schemav1.GroupAssignment{DataCentre: "a", Generation: 4, Voters: members("a", "b", "c")}
+	sealer := &countingSealer{fakeSealer: fakeSealer{"a": {Sealed: true, LastTerm: 1, LastIndex: 1, Voters: group.GetVoters()}}}
+	hosts := hostsOf(group.GetVoters())
+	Expect(PrepareNextGeneration(context.Background(), sealer, group, hosts, hosts[:1])).To(BeNil())
+	Expect(sealer.sealed.Load()).To(BeZero())
+})
+
 var _ = Describe("I2: the next generation", func() {
 	It("starts from the most advanced sealed state, by term before index", func() {
 		group := &schemav1.GroupAssignment{DataCentre: "a", Generation: 1, Voters: members("a", "b", "c")}
--- a/pkg/host/groupservice.go
+++ b/pkg/host/groupservice.go
@@ -124,12 +124,17 @@
 	return &schemav1.AnnounceResponse{Answered: err == nil, Accepted: accepted}, err
 }
 
-// handleSeal permanently ends this host's membership in a generation and returns the generation's state.
+// handleSeal permanently ends this host's membership in a generation and returns the generation's state, unless it is only asked whether
+// it could.
 func (h *Host) handleSeal(ctx context.Context, request *schemav1.SealRequest) (*schemav1.SealResponse, error) {
 	g := h.group.Load()
 	if g == nil || g.table.DataCentre() != request.GetDataCentre() || g.table.Generation() != request.GetGeneration() {
 		return &schemav1.SealResponse{}, nil
 	}
+	if request.GetOnlyAsk() {
+		status := g.replica.Status()
+		return &schemav1.SealResponse{CouldSeal: true, LastTerm: status.LastTerm, LastIndex: status.LastIndex, Voters: votersOf(status)}, nil
+	}
 	sealed, err := g.replica.Seal(ctx)
 	if err != nil {
 		return nil, err
@@ -142,13 +147,20 @@
 	if err != nil {
 		return nil, err
 	}
-	response := &schemav1.SealResponse{Sealed: true, LastTerm: sealed.LastTerm, LastIndex: sealed.LastIndex, State: state}
-	for _, member := range g.replica.Status().Members {
+	return &schemav1.SealResponse{
+		Sealed: true, LastTerm: sealed.LastTerm, LastIndex: sealed.LastIndex, State: state, Voters: votersOf(g.replica.Status()),
+	}, nil
+}
+
+// votersOf returns the voters in a status.
+func votersOf(status replication.Status) []*schemav1.Member {
+	var voters []*schemav1.Member
+	for _, member := range status.Members {
 		if !member.Learner {
-			response.Voters = append(response.Voters, &schemav1.Member{Id: member.ID, Address: member.Address})
+			voters = append(voters, &schemav1.Member{Id: member.ID, Address: member.Address})
 		}
 	}
-	return response, nil
+	return voters
 }
 
 // propose commits a command through this host's replica, which must be the leader.
