--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -189,7 +189,7 @@
 	}
 	received := time.Now()
 	r.watchers.markSeen(request.GetEntry().GetName())
-	r.keyLoads.add(request.GetKeyLoads())
+	r.keyLoads.add(received, request.GetKeyLoads())
 	r.addEntryHost(request.GetEntry())
 	if !request.GetAtOnce() {
 		r.awaitUpdate(ctx, request.GetVersion())
@@ -295,10 +295,13 @@
 		return "", merry.Wrap(ErrNoConfiguration)
 	}
 	if _, ok := configuration.Services[target.GetService()]; !ok {
+		if !r.isUpToDate() {
+			return "", merry.Wrap(ErrOutdated)
+		}
 		return "", merry.Wrap(ErrUnknownService)
 	}
 	known, _ := r.state.Target(target.GetId())
-	if r.announcements.NeedsCommit(known, target, sequence) {
+	if r.announcements.NeedsCommit(known, target, sequence, r.isUpToDate()) {
 		err := r.registrations.commit(ctx, target)
 		klog.InfoS("announcement committed", "target", target.GetId(), "service", target.GetService(), "address", target.GetAddress(),
 			"started", target.GetStartedUnixMs(), "life", target.GetLife(), "cold", target.GetCold(), "sequence", sequence, "err", err)
