entry: decode what answers of targets say about leaving and pausing

Server-Leaving was not read at all, and Retry-After only written. Both are decoded once, from the head of an answer, into a typed notice.

--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -54,7 +54,7 @@
 		if err != nil {
 			return err
 		}
-		result.response = &response{raw: raw}
+		result.response = &response{raw: raw, notice: decodeNotice(x.host.options.Protocol, raw.Response)}
 		return result.response.read(x.host.options.Protocol, x.host.pacer.maxBuffered)
 	})
 	if result.err != nil && result.response != nil {
--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -23,7 +23,7 @@
 )
 
 var testProtocol = Protocol{
-	RequestIDHeader: "Id", DeadlineHeader: "Left-Ms", KeyHeader: "Key", TargetHeader: "Target", NotRunHeader: "Not-Run", SignatureHeader: "Proof", LoadHeader: "Load",
+	RequestIDHeader: "Id", DeadlineHeader: "Left-Ms", KeyHeader: "Key", TargetHeader: "Target", NotRunHeader: "Not-Run", SignatureHeader: "Proof", LoadHeader: "Load", LeavingHeader: "Leaving",
 	ParseLoad: func(string) (dispatch.TargetLoad, bool) { return dispatch.TargetLoad{}, false },
 	ParseDeadline: func(field string) (time.Duration, bool) {
 		ms, err := strconv.Atoi(field)
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -23,6 +23,8 @@
 	// LoadHeader has the load report of a target in its responses; ParseLoad decodes it.
 	LoadHeader string
 	ParseLoad  func(string) (dispatch.TargetLoad, bool)
+	// LeavingHeader is set to 1 in all responses of a target that is about to stop.
+	LeavingHeader string
 	// ReadyPath is the URL path of the readiness check of the load balancer.
 	ReadyPath string
 	// ParseDeadline decodes the value of DeadlineHeader.
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/dispatch"
 	"almondrock.example/almondrock/pkg/upstream"
 )
 
@@ -51,6 +52,8 @@
 	body []byte
 	// complete is set when body is the whole body; otherwise the rest is read from raw.
 	complete bool
+	// notice is what the head of the response says about further requests to the target.
+	notice dispatch.Notice
 	// notRun is set when the target states that it did not run the request.
 	notRun bool
 }
