dispatch: targets that leave or ask for a pause

Callers would have seen requests sent to targets that had said in their answers that they leave or want nothing for a while. RecordNotice keeps both per start of a target, apart from views: a pause excludes requests, hedges and retries until its end, and the load returns in steps after a random delay; a target that leaves is the last choice and excluded from the drain time on. Load reports list pausing targets, which peers weigh.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -66,6 +66,8 @@
 	// number of retries that are allowed beyond it in the time window by which users measure retries.
 	RetryRatio float64
 	RetrySlack float64
+	// DrainTime is how long a target that leaves may still get requests. The default is defaultDrainTime.
+	DrainTime time.Duration
 }
 
 // Dispatcher chooses targets for the requests of one entry host. It is safe for concurrent use. All times that are passed to it are
@@ -92,7 +94,9 @@
 	sequence uint64
 	// hostIndex is the index of this host among the entry hosts of its data centre.
 	hostIndex int
-	// loadChanged is set if the requests in flight have changed since the last InFlightReport.
+	// notices has what the answers of targets said about further requests, by start of the target. Views do not change it.
+	notices map[targetStart]*noticeState
+	// loadChanged is set if the requests in flight or the pauses have changed since the last InFlightReport.
 	loadChanged bool
 }
 
@@ -112,6 +116,8 @@
 	receivedAt      time.Duration
 	// inFlight is the number of requests that the peer has in flight, by target.
 	inFlight map[*target]int
+	// pausing has the targets that pause for the peer.
+	pausing []*target
 }
 
 // New returns a Dispatcher without targets.
@@ -119,10 +125,13 @@
 	if options.Rand == nil {
 		options.Rand = rand.Float64
 	}
+	if options.DrainTime == 0 {
+		options.DrainTime = defaultDrainTime
+	}
 	return &Dispatcher{
 		options: options, services: map[string]*service{}, targets: map[string]*target{}, targetsByHash: map[uint32]*target{},
 		evacuated: map[string]bool{}, baseDuration: map[string]baseDuration{}, peerInFlight: map[string]*peerReport{},
-		hostCount: 1, localHostCount: 1,
+		notices: map[targetStart]*noticeState{}, hostCount: 1, localHostCount: 1,
 	}
 }
 
@@ -147,7 +156,7 @@
 		if next.Cold && !known.Cold {
 			known.cold = coldTokens{level: d.options.Rand(), updatedAt: now}
 		}
-		known.Target = next
+		known.Target, known.notices = next, d.notices[next.start()]
 		d.targets[next.ID] = known
 		d.targetsByHash[known.hash] = known
 		s := d.service(next.Service)
@@ -286,6 +295,10 @@
 	ReasonNoTarget Reason = "no-target"
 	// ReasonBusy means that all targets have as many requests as they may have.
 	ReasonBusy Reason = "busy"
+	// ReasonLeaving means that only targets are left which have said that they leave, and whose drain time is over.
+	ReasonLeaving Reason = "leaving"
+	// ReasonPaused means that all targets have asked this host for a pause.
+	ReasonPaused Reason = "paused"
 	// ReasonUnreachable means that all targets are in back-off after connection failures.
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonColdOnly means that only cold targets are left and none may get a request now.
@@ -307,7 +320,8 @@
 func (d *Dispatcher) choose(now time.Duration, r *Request) (*Choice, Reason) {
 	s := d.service(r.Service)
 	base := d.base(r.Route)
-	var best, bestInRegion scoredTarget
+	// bestLeaving is used only if no other target can take the request.
+	var best, bestInRegion, bestLeaving scoredTarget
 	reason := ReasonNoTarget
 	for _, t := range s.targets {
 		if t.ID == r.Owner {
@@ -320,8 +334,17 @@
 		expected := t.predictLatency(now, base, t.expectedLoad(now))
 		cost := d.distanceCost(t, r.LargeResponse, base)
 		score := float64(expected+cost) + t.currentFailureRate(now)*float64(failurePenalty)
+		if t.peerPauses > 0 {
+			score += float64(peerPausePenalty)
+		}
 		score *= 1 + scoreJitter*d.options.Rand()
 		scored := scoredTarget{t, score, expected}
+		if t.notices.isLeaving() {
+			if bestLeaving.target == nil || score < bestLeaving.score {
+				bestLeaving = scored
+			}
+			continue
+		}
 		if best.target == nil || score < best.score {
 			best = scored
 		}
@@ -329,6 +352,9 @@
 			bestInRegion = scored
 		}
 	}
+	if best.target == nil {
+		best = bestLeaving
+	}
 	if best.target == nil {
 		return nil, reason
 	}
@@ -371,7 +397,7 @@
 
 // mostPromising returns that one of two reasons with which a later attempt is more likely to succeed.
 func mostPromising(known, next Reason) Reason {
-	ascending := []Reason{ReasonNoTarget, ReasonUnreachable, ReasonColdOnly, ReasonLate, ReasonBusy}
+	ascending := []Reason{ReasonNoTarget, ReasonLeaving, ReasonPaused, ReasonUnreachable, ReasonColdOnly, ReasonLate, ReasonBusy}
 	if slices.Index(ascending, next) > slices.Index(ascending, known) {
 		return next
 	}
@@ -381,12 +407,14 @@
 // exclusionReason returns why a target must not be chosen for a request, or "" if it may.
 func (d *Dispatcher) exclusionReason(now time.Duration, s *service, t *target, r *Request, base time.Duration) Reason {
 	load := t.reportedLoad(now)
+	limit := t.Slots + queueLimit(r)
 	switch {
-	case r.Owner != "" && t.ID != r.Owner,
-		t.Draining || d.evacuated[t.DataCentre],
-		len(r.AllowedRegions) > 0 && !slices.Contains(r.AllowedRegions, t.Region),
-		slices.Contains(r.ExcludedTargets, t.ID):
+	case !d.permits(t, r), slices.Contains(r.ExcludedTargets, t.ID):
 		return ReasonNoTarget
+	case t.notices.hasLeft(now, d.options.DrainTime), t.notices.isLeaving() && r.RequireFreeSlot:
+		return ReasonLeaving
+	case t.notices.pauseLeft(now) > 0:
+		return ReasonPaused
 	case now < t.backOffUntil, t.connectionFailures > 0 && t.ownInFlight > 0:
 		// After connection failures, only one request at a time is sent, to find out whether the target is available again.
 		return ReasonUnreachable
@@ -396,7 +424,7 @@
 		return ReasonColdOnly
 	case r.RequireFreeSlot && (t.Cold || t.requestsAhead(load) > maxAheadForFreeSlot):
 		return ReasonBusy
-	case load >= float64(t.Slots+queueLimit(r)):
+	case load >= float64(limit), t.ownInFlight >= t.notices.inFlightLimit(now, limit):
 		return ReasonBusy
 	case t.requestsAhead(load) > 0 && t.predictLatency(now, base, load) > r.maxUsefulLatency():
 		return ReasonLate
@@ -404,6 +432,12 @@
 	return ""
 }
 
+// permits reports whether a target may run a request, however loaded it is.
+func (d *Dispatcher) permits(t *target, r *Request) bool {
+	return (r.Owner == "" || t.ID == r.Owner) && !t.Draining && !d.evacuated[t.DataCentre] &&
+		(len(r.AllowedRegions) == 0 || slices.Contains(r.AllowedRegions, t.Region))
+}
+
 // queueLimit returns the number of requests that may wait at the target of a request.
 func queueLimit(r *Request) int {
 	if r.Owner != "" {
--- a/pkg/dispatch/peers.go
+++ b/pkg/dispatch/peers.go
@@ -51,6 +51,12 @@
 			t.peerInFlight += p.inFlight[t]
 		}
 	}
+	for _, hash := range report.GetPausing() {
+		if t := d.targetsByHash[hash]; t != nil {
+			p.pausing = append(p.pausing, t)
+			t.peerPauses++
+		}
+	}
 }
 
 // removePeer removes the load that a peer reported.
@@ -62,6 +68,9 @@
 	for t, count := range p.inFlight {
 		t.peerInFlight -= count
 	}
+	for _, t := range p.pausing {
+		t.peerPauses--
+	}
 	delete(d.peerInFlight, name)
 }
 
--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -34,8 +34,9 @@
 	switch reason {
 	case ReasonBusy, ReasonLate:
 		return min(max(d.base(route), minRetryAfter), maxRetryAfter)
-	case ReasonRefused:
-		// Targets that shed load decide on each request separately, so an early retry has the same chance as a later one.
+	case ReasonRefused, ReasonPaused:
+		// Targets that shed load decide on each request separately, so an early retry has the same chance as a later one. If all targets
+		// pause, PauseLeft tells the time.
 		return shedRetryAfter
 	case ReasonColdOnly, ReasonUnreachable:
 		return minBackOff * 2
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -118,6 +118,9 @@
 	connectionFailures int
 	backOffUntil       time.Duration
 	cold               coldTokens
+	// notices is what this start of the target has said about further requests, or nil. peerPauses is the number of peers for which it pauses.
+	notices    *noticeState
+	peerPauses int
 }
 
 // predictLatency returns the expected time from sending a request now to its response, for a route with the given base duration and
