entry: send nothing to a target that asked for a pause

Callers' requests were sent to targets that had answered 503 with Retry-After, and were turned away again. The host now acts on the notice of each answer, also of hedges, as soon as its head arrives. If all targets that may run a request pause, the caller is refused at once as "paused", with the earliest end as Retry-After; so is a request for a key whose owner pauses. Load reports say which targets pause. Retry-After is rounded up, because a caller that returns a moment early is refused again.

--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -44,8 +44,10 @@
 	route   *routes.Route
 	service string
 	// exclusive is set when the service is exclusive and the request must go to the owner of key.
-	exclusive   bool
-	key         uint32
+	exclusive bool
+	key       uint32
+	// owner is the target that was last known to own the key.
+	owner       string
 	requestBody requestBody
 	started     time.Duration
 	deadline    time.Duration
@@ -140,6 +142,7 @@
 		if owner == "" {
 			return nil, reason
 		}
+		x.owner = owner
 		request.Owner, request.ExcludedTargets = owner, nil
 	}
 	x.viewVersion = x.host.current().version
@@ -346,11 +349,18 @@
 	case x.mayHaveRun:
 		return x.writeError(http.StatusBadGateway, string(reason))
 	}
+	request := x.dispatchRequest()
+	request.Owner = x.owner
+	if left, all := x.host.dispatcher.PauseLeft(x.host.now(), request); all {
+		return x.refuse(dispatch.ReasonPaused, left)
+	}
 	return x.refuse(reason, x.host.dispatcher.RetryAfter(x.route.Name+x.service, reason))
 }
 
 // refuse responds with 503, which states that the request did not run, and with the time to retry after.
 func (x *exchange) refuse(reason dispatch.Reason, after time.Duration) string {
+	// Rounded up, because a caller that returns too early is refused again.
+	after = (after + time.Millisecond - 1).Truncate(time.Millisecond)
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	return x.writeError(http.StatusServiceUnavailable, string(reason))
 }
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -55,6 +55,7 @@
 			return err
 		}
 		result.response = &response{raw: raw, notice: decodeNotice(x.host.options.Protocol, raw.Response)}
+		x.host.recordNotice(x.id, choice, result.response.notice)
 		return result.response.read(x.host.options.Protocol, x.host.pacer.maxBuffered)
 	})
 	if result.err != nil && result.response != nil {
--- a/pkg/entry/load_report.go
+++ b/pkg/entry/load_report.go
@@ -80,6 +80,7 @@
 		}
 		now := h.now()
 		report, changed := h.dispatcher.InFlightReport()
+		h.dispatcher.AddPauses(now, report)
 		due := now-lastSent > reportRepeatInterval
 		if !changed && (!due || lastReportEmpty) {
 			select {
@@ -91,7 +92,7 @@
 			h.dispatcher.ExpirePeers(now)
 			continue
 		}
-		lastSent, lastReportEmpty = now, len(report.GetTargets()) == 0
+		lastSent, lastReportEmpty = now, len(report.GetTargets())+len(report.GetPausing()) == 0
 		sequence++
 		report.Entry, report.Start, report.Sequence = h.options.Name, start, sequence
 		encoded, err := proto.Marshal(report)
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -43,5 +43,16 @@
 	scope.Histogram(metrics.TargetSeconds, durationBuckets).RecordDuration(latency)
 }
 
+// Results by which notices of targets are counted.
+const (
+	noticeLeaving = "leaving"
+	noticePause   = "pause"
+)
+
+// recordNotice records that a target has said for the first time that it leaves, or has started or prolonged a pause.
+func (m *requestMetrics) recordNotice(service, result string) {
+	m.scope.Tagged(map[string]string{metrics.TagService: service, metrics.TagResult: result}).Counter(metrics.TargetNotices).Inc(1)
+}
+
 // discardLogger drops the log lines of net/http about broken connections of callers; the log line of each request covers them.
 func discardLogger() *log.Logger { return log.New(io.Discard, "", 0) }
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -42,6 +42,7 @@
 	TargetConnections  = "target_connections"
 	DiskFull           = "disk_full"
 	StateAgeSeconds    = "state_age_seconds"
+	TargetNotices      = "target_notices_total"
 	Panics             = "panics_total"
 )
 
