entry, registrar: tell the registry which targets leave

A target that says in its answers that it leaves was known only to the host that got the answer. That host now reports id and start to its registry host until its view shows the target as draining, so that all hosts stop sending and its keys are handed over as in a drain. The registry changes only the life of its own registration of that start; sequence numbers of announcements are not touched, and a later "ready" of the start is ignored as before. drainMs of the settings bounds how long the target may still get requests.

The group of the registrar's specs has a service "desk" now, so that targets can announce themselves.

--- a/pkg/dispatch/notice.go
+++ b/pkg/dispatch/notice.go
@@ -155,8 +155,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var leaving []Target
-	for _, t := range d.targets {
-		if t.notices.isLeaving() && !t.Draining {
+	for start, n := range d.notices {
+		if t := d.targets[start.id]; n.leaving && t != nil && t.start() == start && !t.Draining {
 			leaving = append(leaving, t.Target)
 		}
 	}
--- a/pkg/entry/announce.go
+++ b/pkg/entry/announce.go
@@ -64,6 +64,6 @@
 	}
 	err := h.registryClient.Call(ctx, *address, registrar.MethodAnnounce, announcement, &schemav1.TargetAnnouncementAnswer{})
 	klog.InfoS("announcement passed on", "target", announcement.GetRegistration().GetId(), "life", announcement.GetRegistration().GetLife(),
-		"removed", announcement.GetRemoved(), "registry", *address, "err", err)
+		"removed", announcement.GetRemoved(), "leaving", announcement.GetLeaving(), "registry", *address, "err", err)
 	return err
 }
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -92,7 +92,9 @@
 	// knownRegistryHosts are the registry hosts that were looked up before the first view. Only followRegistry uses it.
 	knownRegistryHosts []*schemav1.RegistryHost
 	// loadChanged wakes the sender of load reports.
-	loadChanged    chan struct{}
+	loadChanged chan struct{}
+	// targetLeaves wakes the reporter of targets that leave.
+	targetLeaves   chan struct{}
 	shuttingDown   atomic.Bool
 	keyLoads       keyLoads
 	requestMetrics *requestMetrics
@@ -116,7 +118,7 @@
 		self:           &schemav1.EntryHost{Name: options.Name, DataCentre: options.DataCentre, LoadAddress: options.LoadReportAddress, AnnounceAddress: options.AnnounceAddress},
 		upstream:       upstream.New(upstream.Options{IDHeader: options.Protocol.RequestIDHeader, ReceiveBuffer: receiveBuffer(options.LinkCapacity)}),
 		registryClient: rpc.NewClient(rpc.ClientOptions{MaxConnections: 1, BackoffMax: maxDialBackOff}), splitter: routes.NewSplitter(),
-		loadChanged: make(chan struct{}, 1), requestMetrics: newRequestMetrics(options.Name, options.DataCentre), pacer: newPacer(options.LinkCapacity),
+		loadChanged: make(chan struct{}, 1), targetLeaves: make(chan struct{}, 1), requestMetrics: newRequestMetrics(options.Name, options.DataCentre), pacer: newPacer(options.LinkCapacity),
 	}
 	h.view.Store(&view{})
 	h.peers.Store(&[]*net.UDPAddr{})
@@ -174,7 +176,7 @@
 	}
 	for task, run := range map[string]func(context.Context){
 		"follow registry": h.followRegistry, "send load reports": h.sendLoadReports, "receive load reports": h.receiveLoadReports,
-		"close idle connections": h.closeIdleConnections,
+		"close idle connections": h.closeIdleConnections, "report leaving targets": h.reportLeavingTargets,
 	} {
 		h.tasks.Go(func() { guard.Loop(h.ctx, task, func() { run(h.ctx) }) })
 	}
--- a/pkg/entry/notice.go
+++ b/pkg/entry/notice.go
@@ -80,5 +80,6 @@
 	if effect.Leaving {
 		klog.InfoS("target leaves", "request", request, "target", choice.ID, "started", choice.StartedUnixMs, "service", choice.Service)
 		h.requestMetrics.recordNotice(choice.Service, noticeLeaving)
+		h.notifyTargetLeaves()
 	}
 }
--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -60,7 +60,7 @@
 			Name: fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
 			DataDir: GinkgoT().TempDir(),
 			Decode: func(d *schemav1.RouteDocument) (*routes.Configuration, error) {
-				return &routes.Configuration{Revision: d.GetRevision()}, nil
+				return &routes.Configuration{Revision: d.GetRevision(), Services: map[string]routes.Service{"desk": {Name: "desk"}}}, nil
 			},
 		})
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -310,6 +310,9 @@
 	if request.GetRemoved() {
 		return &schemav1.TargetAnnouncementAnswer{}, r.RemoveTarget(ctx, target.GetId(), target.GetStartedUnixMs())
 	}
+	if request.GetLeaving() {
+		return &schemav1.TargetAnnouncementAnswer{}, r.recordLeaving(ctx, target.GetId(), target.GetStartedUnixMs())
+	}
 	_, err := r.Announce(ctx, target, request.GetSequence())
 	return &schemav1.TargetAnnouncementAnswer{}, err
 }
