--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -96,6 +96,8 @@
 	hostIndex int
 	// notices has what the answers of targets said about further requests, by start of the target. Views do not change it.
 	notices map[targetStart]*noticeState
+	// lastReturnAt is the time at which the last pause ends.
+	lastReturnAt time.Duration
 	// loadChanged is set if the requests in flight or the pauses have changed since the last InFlightReport.
 	loadChanged bool
 }
--- a/pkg/dispatch/notice.go
+++ b/pkg/dispatch/notice.go
@@ -110,6 +110,7 @@
 		spread := min(notice.Pause/returnSpreadDivisor, maxReturnSpread)
 		n.pausedUntil = until
 		n.returnAt = max(n.returnAt, until+time.Duration(d.options.Rand()*float64(spread)))
+		d.lastReturnAt = max(d.lastReturnAt, n.returnAt)
 		effect.PausedFor = n.returnAt - now
 		d.loadChanged = true
 	}
@@ -188,6 +189,9 @@
 func (d *Dispatcher) AddPauses(now time.Duration, report *schemav1.LoadReport) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if now >= d.lastReturnAt {
+		return
+	}
 	for _, t := range d.targets {
 		if len(report.Pausing) < maxReportedPauses && t.notices.pauseLeft(now) > 0 {
 			report.Pausing = append(report.Pausing, t.hash)
