--- a/pkg/entry/load_report.go
+++ b/pkg/entry/load_report.go
@@ -82,6 +82,7 @@
 		now := h.now()
 		h.dispatcher.ExpirePeers(now)
 		report, changed := h.dispatcher.InFlightReport()
+		h.dispatcher.AddPauses(now, report)
 		due := now-lastSent > reportRepeatInterval
 		if !changed && (!due || lastReportEmpty) {
 			select {
@@ -92,7 +93,7 @@
 			}
 			continue
 		}
-		lastSent, lastReportEmpty = now, len(report.GetTargets()) == 0
+		lastSent, lastReportEmpty = now, len(report.GetTargets())+len(report.GetPausing()) == 0
 		sequence++
 		report.Entry, report.Start, report.Sequence = h.options.Name, start, sequence
 		encoded, err := proto.Marshal(report)
--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -60,7 +60,7 @@
 			Name: fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
 			DataDir: GinkgoT().TempDir(),
 			Decode: func(d *schemav1.RouteDocument) (*routes.Configuration, error) {
-				c := &routes.Configuration{Revision: d.GetRevision(), Services: map[string]routes.Service{}}
+				c := &routes.Configuration{Revision: d.GetRevision(), Services: map[string]routes.Service{"desk": {Name: "desk"}}}
 				if c.Revision > 1 {
 					c.Services["added"] = routes.Service{Name: "added"}
 				}
