--- a/pkg/control/generation.go
+++ b/pkg/control/generation.go
@@ -127,7 +127,7 @@
 	for _, host := range live {
 		wait.Go(func() {
 			response, err := sealer.Seal(ctx, host.GetRpcAddress(), request)
-			if err != nil || !response.GetSealed() && !(onlyAsk && response.GetCouldSeal()) {
+			if err != nil || !response.GetSealed() && (!onlyAsk || !response.GetCouldSeal()) {
 				return
 			}
 			mu.Lock()
--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -162,7 +162,7 @@
 	}
 	cut := hosts[3]
 	announce := func() error {
-		_, err := cut.Announce(context.Background(), &schemav1.Registration{Id: "t", Service: "added", StartedUnixMs: 1, Life: schemav1.Life_LIFE_READY}, 1)
+		_, err := cut.Announce(context.Background(), &schemav1.Registration{Id: "t", Service: "added", Address: "10.0.0.1:1", StartedUnixMs: 1, Life: schemav1.Life_LIFE_READY}, 1)
 		return err
 	}
 	submit(1)
