entry: log a fingerprint of the request with each failed attempt

The fingerprint is a hash of method, host, URI, body and the headers that tell callers apart; no part of the request is logged.

--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -14,6 +15,7 @@
 	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/routes"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/suspects"
 	"almondrock.example/almondrock/pkg/upstream"
 )
 
@@ -68,6 +70,9 @@
 	// viewVersion is the version of the view that the last choice was based on, and lastChoice that choice; both are logged.
 	viewVersion uint64
 	lastChoice  dispatch.Choice
+	// requestFingerprint is set by fingerprintOnce.
+	requestFingerprint suspects.Fingerprint
+	fingerprintOnce    sync.Once
 }
 
 // timeLeft is the time until the deadline.
@@ -288,7 +293,7 @@
 		outcome.Outcome = dispatch.OutcomeFailed
 	}
 	x.finishAttempt(choice, outcome)
-	klog.InfoS("attempt failed", "request", x.id, "target", choice.ID, "address", choice.Address, "stage", failed.Stage,
+	klog.InfoS("attempt failed", "request", x.id, "fingerprint", x.fingerprint(), "target", choice.ID, "address", choice.Address, "stage", failed.Stage,
 		"reused", failed.Reused, "after", outcome.Latency, "err", failed.Cause)
 	if ctx.Err() != nil {
 		x.mayHaveRun = x.mayHaveRun || failed.Stage != upstream.NotSent
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -14,6 +14,9 @@
 	DeadlineHeader string
 	// KeyHeader has the key of a request to an exclusive service, as a decimal number.
 	KeyHeader string
+	// CallerHeaders have the identity of the caller, and what it asks for beside method, URI and body. They are the same when the caller
+	// repeats a request.
+	CallerHeaders []string
 	// TargetHeader has the ID of the only target that may run the request.
 	TargetHeader string
 	// NotRunHeader is set in responses of targets that did not run the request.
