--- a/pkg/entry/host_test.go
+++ b/pkg/entry/host_test.go
@@ -59,27 +59,38 @@
 
 // newHost returns an entry host that has not been started.
 func newHost(seeds []string, timeout time.Duration) *Host {
+	return newHostIn(testHost, "n", seeds, timeout)
+}
+
+// testRegions has the region of each data centre of the test hosts.
+var testRegions = map[string]string{"n": "east", "m": "west"}
+
+// newHostIn is like newHost, with this name and data centre.
+func newHostIn(name, dataCentre string, seeds []string, timeout time.Duration) *Host {
 	return New(Options{
-		Name: testHost, DataCentre: "n", Region: "east", Regions: map[string]string{"n": "east"}, CallerAddress: freeAddress(), ReadinessAddress: freeAddress(),
+		Name: name, DataCentre: dataCentre, Region: testRegions[dataCentre], Regions: testRegions, CallerAddress: freeAddress(), ReadinessAddress: freeAddress(),
 		LoadReportAddress: freeAddress(), Seeds: seeds, Protocol: testProtocol, GracePeriod: 2 * time.Second,
-		Dispatch: dispatch.Options{RetryRatio: 0.2, RetrySlack: 64},
-		DecodeConfiguration: func(*schemav1.RouteDocument) (*routes.Configuration, error) {
-			c := &routes.Configuration{Revision: 1, Services: map[string]routes.Service{"desk": {Name: "desk"}, "files": {Name: "files", Exclusive: true}}}
-			for prefix, kind := range map[string]routes.Kind{"/safe/": routes.Safe, "/unsafe/": routes.Unsafe, "/files/": routes.Download} {
-				service := "desk"
-				if prefix == "/files/" {
-					service = "files"
-				}
-				c.Routes = append(c.Routes, routes.Route{
-					Name: prefix, Host: "a", Prefix: prefix, Kind: kind, LatencyObjective: 600 * time.Millisecond, Timeout: timeout, MaxSends: 2,
-					Destinations: []routes.Destination{{Service: service, Weight: 1}},
-				})
-			}
-			return c, nil
-		},
+		Dispatch:            dispatch.Options{RetryRatio: 0.2, RetrySlack: 64},
+		DecodeConfiguration: func(*schemav1.RouteDocument) (*routes.Configuration, error) { return testConfiguration(timeout), nil },
 	})
 }
 
+// testConfiguration returns the configuration of the test hosts.
+func testConfiguration(timeout time.Duration) *routes.Configuration {
+	c := &routes.Configuration{Revision: 1, Services: map[string]routes.Service{"desk": {Name: "desk"}, "files": {Name: "files", Exclusive: true}}}
+	for prefix, kind := range map[string]routes.Kind{"/safe/": routes.Safe, "/unsafe/": routes.Unsafe, "/files/": routes.Download} {
+		service := "desk"
+		if prefix == "/files/" {
+			service = "files"
+		}
+		c.Routes = append(c.Routes, routes.Route{
+			Name: prefix, Host: "a", Prefix: prefix, Kind: kind, LatencyObjective: 600 * time.Millisecond, Timeout: timeout, MaxSends: 2,
+			Destinations: []routes.Destination{{Service: service, Weight: 1}},
+		})
+	}
+	return c
+}
+
 // testTarget is a target that responds with handler, or successfully if handler is nil.
 type testTarget struct {
 	id, service string
