registry: replicate which requests targets have ended on

A request that a target answers is removed, and so is one that has expired.

The property test of views and the fuzz test of commands cover it.

--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -36,6 +36,7 @@
 	hosts      map[string]*schemav1.RegistryHost
 	// endedTargets is the order in which targets ended, oldest first.
 	endedTargets []string
+	suspects     suspectTable
 	// changed is closed and replaced when the version changes.
 	changed chan struct{}
 	// changeVersions has the version of the last change of each part.
@@ -129,7 +130,7 @@
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
-	result.Fence = s.lastFence
+	result.Fence, result.Version = s.lastFence, s.version
 }
 
 func (s *State) apply(c *schemav1.RegistryCommand, version uint64) bool {
@@ -173,6 +174,8 @@
 		}
 		s.changeVersions.registryHosts = version
 		return true
+	case c.GetSuspects() != nil:
+		return s.suspects.apply(c.GetSuspects(), version)
 	}
 	return false
 }
@@ -394,6 +397,7 @@
 	state := &schemav1.RegistryState{
 		Routes: s.routes, Evacuated: s.evacuated(), Entries: sortedByName(s.entryHosts), RegistryHosts: sortedByName(s.hosts),
 		Keys: sortedByName(s.keyTables), Targets: s.orderedTargets(), LastFence: s.lastFence, Version: s.version,
+		Suspects: s.suspects.ordered,
 	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	return encoded, merry.Wrap(err)
@@ -426,12 +430,13 @@
 	}
 	fresh.changeVersions.routes, fresh.changeVersions.evacuated, fresh.changeVersions.registryHosts = version, version, version
 	fresh.changeVersions.targetRemoved, fresh.changeVersions.entryHostsReset = version, version
+	fresh.suspects = suspectTable{ordered: state.GetSuspects(), reset: version}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version, s.lastFence, s.routes, s.targets, s.evacuations =
 		fresh.version, fresh.lastFence, fresh.routes, fresh.targets, fresh.evacuations
-	s.keyTables, s.entryHosts, s.hosts, s.endedTargets, s.changeVersions =
-		fresh.keyTables, fresh.entryHosts, fresh.hosts, fresh.endedTargets, fresh.changeVersions
+	s.keyTables, s.entryHosts, s.hosts, s.endedTargets, s.changeVersions, s.suspects =
+		fresh.keyTables, fresh.entryHosts, fresh.hosts, fresh.endedTargets, fresh.changeVersions, fresh.suspects
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return nil
@@ -544,6 +549,7 @@
 	full := version == 0 || version > s.version || s.changeVersions.targetRemoved > version ||
 		s.changeVersions.targetsReset > version || s.changeVersions.entryHostsReset > version
 	update := &schemav1.ViewUpdate{Version: s.version, Full: full}
+	update.Suspects, update.AllSuspects = s.suspects.changedSince(version, full)
 	if full || s.changeVersions.routes > version {
 		update.Routes = s.routes
 	}
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -44,6 +44,10 @@
 		{EntryJoined: &schemav1.EntryHost{}},
 		{RegistryHost: &schemav1.RegistryHost{}},
 		{EntryLeft: "e"},
+		{Suspects: &schemav1.SuspectChange{
+			Crashed: []*schemav1.Suspect{{Fingerprint: []byte("f"), Crashes: []uint64{1, 2, 3, 4}}, {}, nil}, Cleared: [][]byte{nil, []byte("g")},
+			Expired: []*schemav1.Suspect{nil, {Fingerprint: []byte("f")}},
+		}},
 		{},
 	}
 	for _, c := range commands {
@@ -216,6 +220,8 @@
 	targets map[string]*schemav1.Registration
 	merged  *schemav1.ViewUpdate
 	keys    map[string]*schemav1.KeyTable
+	// suspects has the suspects by fingerprint.
+	suspects map[string]*schemav1.Suspect
 }
 
 func (v *incrementalView) update(u *schemav1.ViewUpdate) {
@@ -248,12 +254,21 @@
 	if len(u.GetRegistryHosts()) > 0 {
 		v.merged.RegistryHosts = u.GetRegistryHosts()
 	}
+	v.suspects = MergeSuspects(v.suspects, u)
 	v.version = u.GetVersion()
 }
 
 func drawCommand(t *rapid.T) *schemav1.RegistryCommand {
 	name := func(prefix string) string { return fmt.Sprintf("%s%d", prefix, rapid.IntRange(0, 4).Draw(t, prefix)) }
-	switch rapid.IntRange(0, 8).Draw(t, "kind") {
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	case 9:
+		return suspectCommand(name("f"), rapid.Uint64Range(1, 5).Draw(t, "crash"))
+	case 10:
+		return &schemav1.RegistryCommand{Suspects: &schemav1.SuspectChange{Cleared: [][]byte{[]byte(name("f"))}}}
+	case 11:
+		return &schemav1.RegistryCommand{Suspects: &schemav1.SuspectChange{Expired: []*schemav1.Suspect{{
+			Fingerprint: []byte(name("f")), Crashes: rapid.SliceOfN(rapid.Uint64Range(1, 5), 1, 2).Draw(t, "crashes"),
+		}}}}
 	case 8:
 		return &schemav1.RegistryCommand{Split: &schemav1.RangeSplit{
 			Service: name("s"), ExpectedFence: rapid.Uint64Range(0, 9).Draw(t, "fence"), First: 0,
@@ -347,6 +362,14 @@
 				}
 			}
 		}
+		if len(incremental.suspects) != len(full.suspects) {
+			t.Fatalf("incremental view has the suspects %v, full view %v", incremental.suspects, full.suspects)
+		}
+		for fingerprint, suspect := range full.suspects {
+			if !proto.Equal(incremental.suspects[fingerprint], suspect) {
+				t.Fatalf("suspect %s: incremental view %v, full view %v", fingerprint, incremental.suspects[fingerprint], suspect)
+			}
+		}
 		if len(incremental.targets) != len(full.targets) || !proto.Equal(incremental.merged, full.merged) {
 			t.Fatalf("incremental view %v, full view %v", incremental.merged, full.merged)
 		}
