entry: refuse requests that targets end on

Cause: the failure of an attempt counted against the target only, and nothing was remembered of the request.

An attempt whose connection breaks before the response is looked into: when the target refuses connections, is silent, is registered with a new start or no longer registered, and had not announced its end, the host reports the fingerprint of the request to the registry, which shares it with all entry hosts through their views. A suspect request is sent to one target only, without a hedge or a retry. A blocked one is refused with 503 and the time until the block ends, or with 502 if it was sent before within the same exchange. Requests that broke at one target are sent again to different ones.

--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -61,6 +61,8 @@
 	streamCancels []context.CancelFunc
 	// mayHaveRun is set once an attempt may have run the request. The caller must then not be told that it did not run.
 	mayHaveRun bool
+	// connectionBroke is set once a connection has broken on which the request had been sent.
+	connectionBroke bool
 	// errorResponse is the last 5xx response of a target that was read completely. It is held back while further attempts are made.
 	errorResponse *response
 	// target is the ID of the last target.
@@ -91,6 +93,9 @@
 		}
 	}()
 	for {
+		if verdict, after := x.suspicion(); verdict == suspects.Blocked {
+			return x.refuseSuspect(after)
+		}
 		choice, reason := x.chooseTarget(ctx)
 		if ctx.Err() != nil {
 			if choice != nil {
@@ -102,6 +107,11 @@
 			return x.endWithoutTarget(reason)
 		}
 		x.openChoice = choice
+		if verdict, after := x.suspicion(); verdict == suspects.Blocked {
+			// It became known while the request was queued.
+			x.finishAttempt(choice, dispatch.Result{Outcome: dispatch.OutcomeCancelled})
+			return x.refuseSuspect(after)
+		}
 		result, retry := x.attempt(ctx, choice)
 		if !retry {
 			return result
@@ -121,6 +131,7 @@
 func (x *exchange) recordResult(choice *dispatch.Choice, result dispatch.Result) {
 	now := x.host.now()
 	x.host.dispatcher.Finish(now, choice, result)
+	x.host.suspects.isolation.Leave(choice)
 	if x.exclusive && (result.Outcome == dispatch.OutcomeAnswered || result.Outcome == dispatch.OutcomeTimedOut) {
 		x.host.keyLoads.recordResponse(x.service, choice.ID, result.Latency)
 	}
@@ -148,7 +159,13 @@
 		request.Owner, request.ExcludedTargets = owner, nil
 	}
 	x.viewVersion = x.host.current().version
-	choice, reason := x.host.dispatcher.Choose(x.host.now(), request)
+	choose := func(r *dispatch.Request) (*dispatch.Choice, dispatch.Reason) {
+		return x.host.dispatcher.Choose(x.host.now(), r)
+	}
+	if !x.exclusive && (x.connectionBroke || x.isSuspect()) {
+		choose = x.chooseIsolated
+	}
+	choice, reason := choose(request)
 	if choice != nil {
 		x.host.notifyLoadChanged()
 		return choice, ""
@@ -311,13 +328,14 @@
 	}
 	x.sends++
 	x.mayHaveRun = true
+	x.connectionBroke = x.connectionBroke || !failed.Timeout()
 	return x.retry(choice, "no-answer")
 }
 
 // retry reports whether a request that may have run is sent again. If not, it sends an error response to the caller and returns
 // the result for the log.
 func (x *exchange) retry(choice *dispatch.Choice, failure string) (string, bool) {
-	if x.route.Kind.Idempotent() && x.mayRetry(choice) {
+	if x.route.Kind.Idempotent() && !x.isSuspect() && x.mayRetry(choice) {
 		return "", true
 	}
 	if x.timeLeft() <= 0 {
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -61,6 +61,7 @@
 		result.response.raw.Abort()
 	}
 	result.latency = x.host.now() - sentAt
+	x.observeAttempt(ctx, result)
 	return result
 }
 
@@ -151,7 +152,7 @@
 
 // hedgeChoice chooses a second target with a free slot. It returns nil if there is none or the retry budget is used up.
 func (x *exchange) hedgeChoice(first *dispatch.Choice) *dispatch.Choice {
-	if x.timeLeft() <= first.BaseDuration {
+	if x.timeLeft() <= first.BaseDuration || x.isSuspect() {
 		return nil
 	}
 	request := x.dispatchRequest()
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -95,6 +95,7 @@
 	loadChanged    chan struct{}
 	shuttingDown   atomic.Bool
 	keyLoads       keyLoads
+	suspects       *suspectTracker
 	requestMetrics *requestMetrics
 	pacer          *pacer
 
@@ -116,7 +117,7 @@
 		self:           &schemav1.EntryHost{Name: options.Name, DataCentre: options.DataCentre, LoadAddress: options.LoadReportAddress, AnnounceAddress: options.AnnounceAddress},
 		upstream:       upstream.New(upstream.Options{IDHeader: options.Protocol.RequestIDHeader, ReceiveBuffer: receiveBuffer(options.LinkCapacity)}),
 		registryClient: rpc.NewClient(rpc.ClientOptions{MaxConnections: 1, BackoffMax: maxDialBackOff}), splitter: routes.NewSplitter(),
-		loadChanged: make(chan struct{}, 1), requestMetrics: newRequestMetrics(options.Name, options.DataCentre), pacer: newPacer(options.LinkCapacity),
+		loadChanged: make(chan struct{}, 1), requestMetrics: newRequestMetrics(options.Name, options.DataCentre), pacer: newPacer(options.LinkCapacity), suspects: newSuspectTracker(),
 	}
 	h.view.Store(&view{})
 	h.peers.Store(&[]*net.UDPAddr{})
@@ -174,7 +175,7 @@
 	}
 	for task, run := range map[string]func(context.Context){
 		"follow registry": h.followRegistry, "send load reports": h.sendLoadReports, "receive load reports": h.receiveLoadReports,
-		"close idle connections": h.closeIdleConnections,
+		"close idle connections": h.closeIdleConnections, "report suspects": h.reportSuspects,
 	} {
 		h.tasks.Go(func() { guard.Loop(h.ctx, task, func() { run(h.ctx) }) })
 	}
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -22,6 +22,8 @@
 	keyTables     map[string]*schemav1.KeyTable
 	entryHosts    []*schemav1.EntryHost
 	registryHosts []*schemav1.RegistryHost
+	// suspects has the suspects by fingerprint.
+	suspects map[string]*schemav1.Suspect
 }
 
 // updated returns a copy of the view with the update applied, or nil if the update is older than the view.
@@ -84,6 +86,7 @@
 	if len(update.GetRegistryHosts()) > 0 {
 		n.registryHosts = update.GetRegistryHosts()
 	}
+	n.suspects = registry.MergeSuspects(v.suspects, update)
 	return &n
 }
 
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -277,6 +277,7 @@
 	if update.GetFull() || len(update.GetTargets()) > 0 {
 		h.dispatcher.SetTargets(now, updated.dispatchTargets(h.options.Regions))
 	}
+	h.setSuspects(updated.version, updated.suspects, update.GetFull() || update.GetAllSuspects() || len(update.GetSuspects()) > 0)
 	if update.GetHostsChanged() {
 		hostsInDataCentre, hostIndex := 0, 0
 		for _, entry := range updated.entryHosts {
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -43,6 +43,7 @@
 	DiskFull           = "disk_full"
 	StateAgeSeconds    = "state_age_seconds"
 	Panics             = "panics_total"
+	Suspects           = "suspects_total"
 )
 
 // Tag names.
--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -26,6 +26,7 @@
 	ctx                 context.Context
 	membershipChangedAt time.Time
 	membershipChanges   sync.WaitGroup
+	suspectAges         suspectAges
 }
 
 // step makes the decisions that are due if this host is the leader. It ends earlier work if this host no longer is the leader or the term
@@ -41,9 +42,11 @@
 	if l.manager == nil {
 		l.term = status.Term
 		l.ctx, l.cancel = context.WithCancel(r.ctx)
+		l.suspectAges = suspectAges{}
 		l.manager = grants.New(r.state, r, r.options.Granter, func() time.Duration { return time.Since(r.started) })
 	}
 	l.changeMembership(status)
+	r.expireSuspects(&l.suspectAges)
 	for _, load := range r.keyLoads.take() {
 		for i, bucket := range load.GetBuckets() {
 			if i < len(load.GetCounts()) {
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -51,6 +51,7 @@
 	rpc.Register(r.server, methodKeyLoads, r.handleKeyLoads)
 	rpc.Register(r.server, MethodWatch, r.handleWatch)
 	rpc.Register(r.server, MethodAnnounce, r.handleAnnounce)
+	rpc.Register(r.server, MethodReportSuspects, r.handleReportSuspects)
 	rpc.Register(r.server, member.MethodStep, r.handleStep)
 }
 
