--- a/pkg/registry/suspects.go
+++ b/pkg/registry/suspects.go
@@ -12,8 +12,9 @@
 	// maxSuspects bounds the suspects that are kept. The loss of a data centre with hundreds of targets makes suspects of all requests that
 	// ran there; those with a single crash are dropped first.
 	maxSuspects = 512
-	// MaxCrashes is the number of crashes that are kept for each suspect. Further ones change no decision.
-	MaxCrashes = 3
+	// maxCrashes is the number of crashes that are kept for each suspect. Three decide on the suspect itself; the others show that the
+	// requests that ran beside it did not cause them. Requests that are on their way when a suspect is blocked add a few.
+	maxCrashes = 8
 	// maxFingerprintSize is the size of the longest fingerprint in bytes that is kept.
 	maxFingerprintSize = 32
 	// maxSuspectChanges is the number of changes up to which views get only the changed suspects.
@@ -71,7 +72,7 @@
 	}
 	known := len(next.Crashes)
 	for _, crash := range crashed.GetCrashes() {
-		if len(next.Crashes) < MaxCrashes && !slices.Contains(next.Crashes, crash) {
+		if len(next.Crashes) < maxCrashes && !slices.Contains(next.Crashes, crash) {
 			next.Crashes = append(next.Crashes, crash)
 		}
 	}
