--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -14,6 +15,7 @@
 	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/routes"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/suspects"
 	"almondrock.example/almondrock/pkg/upstream"
 )
 
@@ -61,6 +63,8 @@
 	streamCancels []context.CancelFunc
 	// mayHaveRun is set once an attempt may have run the request. The caller must then not be told that it did not run.
 	mayHaveRun bool
+	// connectionBroke is set once a connection has broken on which the request had been sent.
+	connectionBroke bool
 	// errorResponse is the last 5xx response of a target that was read completely. It is held back while further attempts are made.
 	errorResponse *response
 	// target is the ID of the last target.
@@ -70,6 +74,9 @@
 	// viewVersion is the version of the view that the last choice was based on, and lastChoice that choice; both are logged.
 	viewVersion uint64
 	lastChoice  dispatch.Choice
+	// requestFingerprint is set by fingerprintOnce.
+	requestFingerprint suspects.Fingerprint
+	fingerprintOnce    sync.Once
 }
 
 // timeLeft is the time until the deadline.
@@ -88,6 +95,9 @@
 		}
 	}()
 	for {
+		if verdict, after := x.suspicion(); verdict == suspects.Blocked {
+			return x.refuseSuspect(after)
+		}
 		choice, reason := x.chooseTarget(ctx)
 		if ctx.Err() != nil {
 			if choice != nil {
@@ -99,6 +109,11 @@
 			return x.endWithoutTarget(reason)
 		}
 		x.openChoice = choice
+		if verdict, after := x.suspicion(); verdict == suspects.Blocked {
+			// It became known while the request was queued.
+			x.finishAttempt(choice, dispatch.Result{Outcome: dispatch.OutcomeCancelled})
+			return x.refuseSuspect(after)
+		}
 		result, retry := x.attempt(ctx, choice)
 		if !retry {
 			return result
@@ -118,6 +133,7 @@
 func (x *exchange) recordResult(choice *dispatch.Choice, result dispatch.Result) {
 	now := x.host.now()
 	x.host.dispatcher.Finish(now, choice, result)
+	x.host.suspects.isolation.Leave(choice)
 	if x.exclusive && (result.Outcome == dispatch.OutcomeAnswered || result.Outcome == dispatch.OutcomeTimedOut) {
 		x.host.keyLoads.recordResponse(x.service, choice.ID, result.Latency)
 	}
@@ -146,7 +162,13 @@
 		request.Owner, request.ExcludedTargets = owner, nil
 	}
 	x.viewVersion = x.host.current().version
-	choice, reason := x.host.dispatcher.Choose(x.host.now(), request)
+	choose := func(r *dispatch.Request) (*dispatch.Choice, dispatch.Reason) {
+		return x.host.dispatcher.Choose(x.host.now(), r)
+	}
+	if !x.exclusive && (x.connectionBroke || x.isSuspect()) {
+		choose = x.chooseIsolated
+	}
+	choice, reason := choose(request)
 	if choice != nil {
 		x.host.notifyLoadChanged()
 		return choice, ""
@@ -291,7 +313,7 @@
 		outcome.Outcome = dispatch.OutcomeFailed
 	}
 	x.finishAttempt(choice, outcome)
-	klog.InfoS("attempt failed", "request", x.id, "target", choice.ID, "address", choice.Address, "stage", failed.Stage,
+	klog.InfoS("attempt failed", "request", x.id, "fingerprint", x.fingerprint(), "target", choice.ID, "address", choice.Address, "stage", failed.Stage,
 		"reused", failed.Reused, "after", outcome.Latency, "err", failed.Cause)
 	if ctx.Err() != nil {
 		x.mayHaveRun = x.mayHaveRun || failed.Stage != upstream.NotSent
@@ -309,13 +331,14 @@
 	}
 	x.sends++
 	x.mayHaveRun = true
+	x.connectionBroke = x.connectionBroke || !failed.Timeout()
 	return x.retry(choice, "no-answer")
 }
 
 // retry reports whether a request that may have run is sent again. If not, it sends an error response to the caller and returns
 // the result for the log.
 func (x *exchange) retry(choice *dispatch.Choice, failure string) (string, bool) {
-	if x.route.Kind.Idempotent() && x.mayRetry(choice) {
+	if x.route.Kind.Idempotent() && !x.isSuspect() && x.mayRetry(choice) {
 		return "", true
 	}
 	if x.timeLeft() <= 0 {
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -97,6 +97,7 @@
 	targetLeaves   chan struct{}
 	shuttingDown   atomic.Bool
 	keyLoads       keyLoads
+	suspects       *suspectTracker
 	requestMetrics *requestMetrics
 	pacer          *pacer
 
@@ -119,6 +120,7 @@
 		upstream:       upstream.New(upstream.Options{IDHeader: options.Protocol.RequestIDHeader, ReceiveBuffer: receiveBuffer(options.LinkCapacity)}),
 		registryClient: rpc.NewClient(rpc.ClientOptions{MaxConnections: 1, BackoffMax: maxDialBackOff}), splitter: routes.NewSplitter(),
 		loadChanged: make(chan struct{}, 1), targetLeaves: make(chan struct{}, 1), requestMetrics: newRequestMetrics(options.Name, options.DataCentre), pacer: newPacer(options.LinkCapacity),
+		suspects: newSuspectTracker(),
 	}
 	h.view.Store(&view{})
 	h.peers.Store(&[]*net.UDPAddr{})
@@ -177,6 +179,7 @@
 	for task, run := range map[string]func(context.Context){
 		"follow registry": h.followRegistry, "send load reports": h.sendLoadReports, "receive load reports": h.receiveLoadReports,
 		"close idle connections": h.closeIdleConnections, "report leaving targets": h.reportLeavingTargets,
+		"report suspects": h.reportSuspects,
 	} {
 		h.tasks.Go(func() { guard.Loop(h.ctx, task, func() { run(h.ctx) }) })
 	}
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -44,6 +44,7 @@
 	StateAgeSeconds    = "state_age_seconds"
 	TargetNotices      = "target_notices_total"
 	Panics             = "panics_total"
+	Suspects           = "suspects_total"
 )
 
 // Tag names.
