entry: pass announcements on only to a registry host that is up to date

An entry host passed the announcements of targets on to the registry host that had last answered. At each try of the nearest one, every 3 s while that is cut off, and whenever a late response of it arrived, this was the host that can commit nothing: the call of a target that drains waited 0.9 s and failed. A host that is cut off may also take an announcement for a repetition, because it compares it with an outdated state, and acknowledge it.

Only a response that is up to date now makes its host the one for announcements; before the first such one it is the first host that answered.

--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -86,7 +86,8 @@
 	viewChanged    broadcaster
 	// completeUntil is the time since the start of the host up to which the view certainly has all changes of the registry.
 	completeUntil atomic.Int64
-	// registryAddress is the peer address of the registry host that last answered; nil before the first answer.
+	// registryAddress is the peer address of the registry host that last answered and was up to date, or before that of the first one that
+	// answered; nil before the first answer.
 	registryAddress atomic.Pointer[string]
 	announcements   registry.AnnouncementOrder
 	// knownRegistryHosts are the registry hosts that were looked up before the first view. Only followRegistry uses it.
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -177,7 +177,7 @@
 // handle applies the result of a watch call. inUse is set if it is of the registry host in use.
 func (f *registryFollower) handle(ctx context.Context, result watchResult, inUse bool) {
 	h := f.host
-	if result.err == nil {
+	if result.err == nil && (result.update.GetUpToDate() || h.registryAddress.Load() == nil) {
 		h.registryAddress.Store(&result.address)
 	}
 	switch {
