entry: the age of a view may reach back before the start of its host

The time up to which a view is complete started at 0, the start of the host, and never went back. A host that had just started therefore counted its first view, which may be up to 0.7 s old, as no older than itself, and one that a registry host of an earlier release had sent as complete at the start. Such a host could answer 404 for a route that was added just before it started.

The time now starts far before the start, and the gauge is set once it is known.

--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -122,6 +122,7 @@
 		loadChanged: make(chan struct{}, 1), targetLeaves: make(chan struct{}, 1), requestMetrics: newRequestMetrics(options.Name, options.DataCentre), pacer: newPacer(options.LinkCapacity),
 	}
 	h.view.Store(&view{})
+	h.completeUntil.Store(int64(notConfirmed))
 	h.peers.Store(&[]*net.UDPAddr{})
 	h.SetSeeds(options.Seeds)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- a/pkg/entry/stale_test.go
+++ b/pkg/entry/stale_test.go
@@ -27,3 +27,22 @@
 		Consistently(func() string { return *h.registryAddress.Load() }, nearestRetryInterval+2*time.Second, "2ms").Should(Equal(distant))
 	})
 })
+
+var _ = Describe("Age of the view of a host that has just started", func() {
+	update := func() *schemav1.ViewUpdate {
+		return &schemav1.ViewUpdate{Version: 7, Full: true, Routes: &schemav1.RouteDocument{Revision: 1}}
+	}
+
+	// Guards against 404 for routes that may be new, on a view that was older than the host when it arrived.
+	It("counts from before the start if the view is that old", func() {
+		h := newHost([]string{"127.0.0.1:1"}, testTimeout)
+		h.applyUpdate(update(), -maxViewAge)
+		Expect(h.viewAge()).To(BeNumerically(">=", maxViewAge))
+	})
+
+	It("is beyond its bound while no update has told how old the view is", func() {
+		h := newHost([]string{"127.0.0.1:1"}, testTimeout)
+		h.applyUpdate(update(), notConfirmed)
+		Expect(h.viewAge()).To(BeNumerically(">", maxViewAge))
+	})
+})
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -34,8 +35,9 @@
 	lookupRetryDelay = 100 * time.Millisecond
 	// maxLookups is the number of lookups after which the first view is asked for at a seed, whatever its distance.
 	maxLookups = 10
-	// notConfirmed stands for an update that does not tell up to which time the view after it is complete.
-	notConfirmed time.Duration = -1
+	// notConfirmed stands for an update that does not tell up to which time the view after it is complete. It is far before the start of any
+	// host, because a view may be older than the host that gets it.
+	notConfirmed time.Duration = math.MinInt64 / 2
 	// nearestRetryInterval is how long a more distant registry host is used before the nearest one is tried again.
 	nearestRetryInterval = 3 * time.Second
 )
@@ -136,7 +138,9 @@
 // step asks the registry host in use for changes and handles the next result. If there is none within watchTimeout, the next step asks
 // another registry host as well.
 func (f *registryFollower) step(ctx context.Context) {
-	f.host.requestMetrics.recordViewAge(f.host.viewAge())
+	if f.host.completeUntil.Load() != int64(notConfirmed) {
+		f.host.requestMetrics.recordViewAge(f.host.viewAge())
+	}
 	addresses := f.host.registryAddresses()
 	if f.index > 0 && f.host.now()-f.switchedAt > nearestRetryInterval {
 		f.index = 0
