registrar: an entry host that ended during a cut leaves the registry

A registry host removes entry hosts of which it has heard nothing for 8 s. If that failed, because the host was cut off or there was no leader, it forgot them, and nobody else removes them: they stayed in the registry for good, counted in the shares of cold rates and retries, and took part in the choice of relays.

It now tries again after another 8 s. Entry hosts whose registry host ends at the same time still stay: the times are only in its memory.

--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -176,6 +176,8 @@
 		r.start("remove entry host", func() {
 			if _, err := r.proposeWithRetry(r.ctx, &schemav1.RegistryCommand{EntryLeft: name}); err != nil {
 				klog.InfoS("entry host not removed", "entry", name, "err", err)
+				// It is removed after the next watcherTimeout.
+				r.watchers.markSeen(name)
 			}
 		})
 	}
