--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -86,7 +86,8 @@
 	viewChanged    broadcaster
 	// completeUntil is the time since the start of the host up to which the view certainly has all changes of the registry.
 	completeUntil atomic.Int64
-	// registryAddress is the peer address of the registry host that last answered; nil before the first answer.
+	// registryAddress is the peer address of the registry host that last answered and was up to date, or before that of the first one that
+	// answered; nil before the first answer.
 	registryAddress atomic.Pointer[string]
 	announcements   registry.AnnouncementOrder
 	// knownRegistryHosts are the registry hosts that were looked up before the first view. Only followRegistry uses it.
@@ -123,6 +124,7 @@
 		suspects: newSuspectTracker(),
 	}
 	h.view.Store(&view{})
+	h.completeUntil.Store(int64(notConfirmed))
 	h.peers.Store(&[]*net.UDPAddr{})
 	h.SetSeeds(options.Seeds)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
