registrar: an entry host that has turned to another registry host stays in the registry

Eight seconds after its last call a registry host removed an entry host, also if that had only turned to another registry host. It was added again at its next call there. Since entry hosts leave a registry host that is cut off, all of a data centre were removed at the same time after the cut, and the others took their shares of cold rates meanwhile.

A registry host now asks the others first, once for all silent entry hosts, and keeps those that watch elsewhere or of which nothing is known because a registry host does not answer, the latter for at most three more checks.

--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +28,7 @@
 	methodRead     = "Registry.Read"
 	methodJoin     = "Registry.Join"
 	methodKeyLoads = "Registry.KeyLoads"
+	methodWatching = "Registry.Watching"
 	// MethodWatch is the method by which entry hosts get updates of their view.
 	MethodWatch = "Registry.Watch"
 	// MethodAnnounce is the method by which entry hosts pass on announcements of targets.
@@ -41,6 +44,9 @@
 	maxUpdateInterval = 400 * time.Millisecond
 	// watcherTimeout is how long after its last watch call an entry host stays in the registry.
 	watcherTimeout = 8 * time.Second
+	// maxUnknownChecks is how often a silent entry host is kept because a registry host, through which it may watch, does not answer. A
+	// registry host that is away for longer may never return.
+	maxUnknownChecks = 3
 	// proposalTimeout is the timeout of a proposal or read with its retries. Callers use another host after a second.
 	proposalTimeout = 900 * time.Millisecond
 )
@@ -50,6 +56,7 @@
 	rpc.Register(r.server, methodRead, r.handleRead)
 	rpc.Register(r.server, methodJoin, r.handleJoin)
 	rpc.Register(r.server, methodKeyLoads, r.handleKeyLoads)
+	rpc.Register(r.server, methodWatching, r.handleWatching)
 	rpc.Register(r.server, MethodWatch, r.handleWatch)
 	rpc.Register(r.server, MethodAnnounce, r.handleAnnounce)
 	rpc.Register(r.server, MethodReportSuspects, r.handleReportSuspects)
@@ -122,6 +129,8 @@
 type watcher struct {
 	// seenAt is the time of its last watch call, updatedAt that of the last update that it got.
 	seenAt, updatedAt time.Time
+	// unknownChecks counts the checks in a row after which it was not known whether it watches elsewhere.
+	unknownChecks int
 }
 
 func (w *watchers) markSeen(name string) {
@@ -133,7 +142,26 @@
 	if w.byName[name] == nil {
 		w.byName[name] = &watcher{}
 	}
-	w.byName[name].seenAt = time.Now()
+	w.byName[name].seenAt, w.byName[name].unknownChecks = time.Now(), 0
+}
+
+// keepSilent keeps a silent entry host for another watcherTimeout, because nothing could be found out about it or it could not be removed.
+func (w *watchers) keepSilent(name string, known watcher) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.byName[name] == nil {
+		known.seenAt = time.Now()
+		known.unknownChecks++
+		w.byName[name] = &known
+	}
+}
+
+// isWatching reports whether an entry host has called within watcherTimeout.
+func (w *watchers) isWatching(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known := w.byName[name]
+	return known != nil && known.unknownChecks == 0 && time.Since(known.seenAt) <= watcherTimeout
 }
 
 // reserveUpdate returns how long to wait before the next update is sent to an entry host, and counts it as sent then.
@@ -157,31 +185,66 @@
 }
 
 // removeSilent removes and returns the entry hosts whose last call is more than watcherTimeout ago.
-func (w *watchers) removeSilent() []string {
+func (w *watchers) removeSilent() map[string]watcher {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var names []string
+	silent := map[string]watcher{}
 	for name, known := range w.byName {
 		if time.Since(known.seenAt) > watcherTimeout {
-			names = append(names, name)
+			silent[name] = *known
 			delete(w.byName, name)
 		}
 	}
-	return names
+	return silent
 }
 
-// removeSilentEntryHosts starts to remove entry hosts from the registry that no longer watch through this host. An entry host that
-// watches through another registry host is added again at its next call.
+// removeSilentEntryHosts starts to remove entry hosts from the registry that no longer watch through this host, nor through another one.
 func (r *Registrar) removeSilentEntryHosts() {
-	for _, name := range r.watchers.removeSilent() {
-		r.start("remove entry host", func() {
+	silent := r.watchers.removeSilent()
+	if len(silent) == 0 {
+		return
+	}
+	r.start("remove entry hosts", func() {
+		watching, complete := r.watchingElsewhere(slices.Sorted(maps.Keys(silent)))
+		for name, known := range silent {
+			switch {
+			case watching[name]:
+				continue
+			case !complete && known.unknownChecks < maxUnknownChecks:
+				klog.InfoS("entry host silent, not all registry hosts asked", "entry", name, "checks", known.unknownChecks+1)
+				r.watchers.keepSilent(name, known)
+				continue
+			}
 			if _, err := r.proposeWithRetry(r.ctx, &schemav1.RegistryCommand{EntryLeft: name}); err != nil {
 				klog.InfoS("entry host not removed", "entry", name, "err", err)
-				// It is removed after the next watcherTimeout.
-				r.watchers.markSeen(name)
+				r.watchers.keepSilent(name, known)
 			}
-		})
+		}
+	})
+}
+
+// watchingElsewhere asks the other registry hosts which of these entry hosts watch through them. complete is false if one did not answer.
+func (r *Registrar) watchingElsewhere(names []string) (watching map[string]bool, complete bool) {
+	watching, complete = map[string]bool{}, true
+	for _, host := range r.state.RegistryHosts() {
+		if host.GetPeerAddress() == r.options.PeerAddress {
+			continue
+		}
+		response := &schemav1.EntryHostNames{}
+		if err := r.call(host.GetPeerAddress(), methodWatching, &schemav1.EntryHostNames{Names: names}, response); err != nil {
+			klog.V(1).InfoS("registry host not asked for its entry hosts", "address", host.GetPeerAddress(), "err", err)
+			complete = false
+		}
+		for _, name := range response.GetNames() {
+			watching[name] = true
+		}
 	}
+	return watching, complete
+}
+
+// handleWatching returns which of the given entry hosts watch through this host.
+func (r *Registrar) handleWatching(_ context.Context, request *schemav1.EntryHostNames) (*schemav1.EntryHostNames, error) {
+	return &schemav1.EntryHostNames{Names: slices.DeleteFunc(request.GetNames(), func(name string) bool { return !r.watchers.isWatching(name) })}, nil
 }
 
 // handleWatch returns what changed since the caller's version. If there is nothing, or if the caller has no view and this host is not up to
