httpserver: close a connection before the handlers of its requests are cancelled; entry: cut responses of different requests

The connection is now closed first.

The specs of responses that are cut off sent one request again and again to new starts of a target, each of which broke off; such a request is refused since requests that end targets are. Each cut now has a request of its own; the checks are the same.

--- a/pkg/httpserver/conn.go
+++ b/pkg/httpserver/conn.go
@@ -377,8 +377,9 @@
 }
 
 // abort closes the connection and cancels its requests. A response that the end of the connection would complete ends with a reset.
+// The connection is closed first, because a handler that returns when it is cancelled would complete its response.
 func (c *conn) abort() {
-	c.cancel()
+	defer c.cancel()
 	if tcp, ok := c.raw.(*net.TCPConn); ok && c.unfinished.Load() {
 		if err := tcp.SetLinger(0); err != nil {
 			klog.InfoS("incomplete response not reset", "caller", c.remote, "err", err)
