entry: count one end when two targets end while a request is hedged

Targets that end together have another cause than a request. The spec fails without the check (verdict blocked).

--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -63,6 +64,8 @@
 	streamCancels []context.CancelFunc
 	// mayHaveRun is set once an attempt may have run the request. The caller must then not be told that it did not run.
 	mayHaveRun bool
+	// brokeAt is when a connection last broke on which the request had been sent, relative to the start of the host; 0 if none did.
+	brokeAt atomic.Int64
 	// connectionBroke is set once a connection has broken on which the request had been sent.
 	connectionBroke bool
 	// errorResponse is the last 5xx response of a target that was read completely. It is held back while further attempts are made.
--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -146,6 +146,11 @@
 	if ctx.Err() != nil || !errors.As(result.err, &failed) || failed.Stage != upstream.Sent || failed.Timeout() {
 		return
 	}
+	now := h.now()
+	if sentAt := now - result.latency; sentAt < time.Duration(x.brokeAt.Swap(int64(now))) {
+		// Both attempts were in progress at the same time. Targets that end together have another cause than a request.
+		return
+	}
 	target := h.current().targets[choice.ID]
 	if target == nil || target.GetStartedUnixMs() == choice.StartedUnixMs && target.GetLife() != schemav1.Life_LIFE_READY {
 		// The target has announced its end.
--- a/pkg/entry/suspects_test.go
+++ b/pkg/entry/suspects_test.go
@@ -112,6 +112,30 @@
 		Entry("is no longer registered", func() { time.AfterFunc(400*time.Millisecond, func() { applyView(h, 3, nil, b) }) }),
 	)
 
+	// Guards against the loss of several targets at once that blocks the requests that were hedged there.
+	It("has crashed one target only when two end while it is hedged", func() {
+		var both sync.WaitGroup
+		both.Add(2)
+		for _, t := range []*testTarget{a, b} {
+			t.setHandler(func(http.ResponseWriter, *http.Request) {
+				both.Done()
+				both.Wait()
+				_ = t.server.Listener.Close()
+				panic(http.ErrAbortHandler)
+			})
+		}
+		status, _, _ := sendRequest(h, "/safe/deadly")
+		Expect(status).To(Equal(http.StatusBadGateway))
+		Expect(runs()).To(BeEquivalentTo(2))
+		Eventually(h.suspects.table.IsEmpty, "3s").Should(BeFalse())
+		fingerprint := suspects.FingerprintOf([]byte(http.MethodGet), []byte("a"), []byte("/safe/deadly"), nil)
+		verdict := func() suspects.Verdict {
+			v, _ := h.suspects.table.Verdict(h.now(), fingerprint)
+			return v
+		}
+		Consistently(verdict, "500ms").Should(Equal(suspects.Suspected))
+	})
+
 	It("is not suspected when the target has announced its end", func() {
 		a.setHandler(func(http.ResponseWriter, *http.Request) {
 			draining := &schemav1.Registration{Id: "a", StartedUnixMs: 1, Service: "desk", Address: h.current().targets["a"].GetAddress(), Life: schemav1.Life_LIFE_DRAINING}
