upstream: a stated timeout of idle connections is bounded; seeds of heads that are cut off

A Keep-Alive timeout of 1e300 was converted to a duration that depends on the processor (negative here, so that the default applied). It is an hour at most now, and what is negative or no number is ignored.

Evidence: "ignores a stated timeout of idle connections that no duration can hold" failed before in the rows "too large", "infinite", "years" and those below 0. No caller saw it. FuzzResponse starts from heads that are cut off and from refusals without an ID, and checks that a response has an end of its head.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -32,6 +32,8 @@
 	DefaultDialTimeout = 300 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection may be reused when the target does not state a timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxStatedIdle bounds the timeout that a target states.
+	maxStatedIdle = time.Hour
 	// idleMargin is subtracted from a timeout that the target states, to cover the transit time of the next request.
 	idleMargin = 1500 * time.Millisecond
 	// readBufferSize fits a response header. Reads of bodies bypass the buffer.
@@ -506,8 +508,8 @@
 	for part := range strings.SplitSeq(field, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if strings.EqualFold(name, "timeout") {
-			if seconds, err := strconv.ParseFloat(value, 64); err == nil {
-				return time.Duration(seconds * float64(time.Second))
+			if seconds, err := strconv.ParseFloat(value, 64); err == nil && seconds > 0 {
+				return time.Duration(min(seconds, maxStatedIdle.Seconds()) * float64(time.Second))
 			}
 		}
 	}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -474,6 +474,19 @@
 		Eventually(ended).Should(Receive(MatchError(syscall.ECONNRESET)))
 	})
 
+	DescribeTable("ignores a stated timeout of idle connections that no duration can hold",
+		func(field string, want time.Duration) { Expect(keepAliveTimeout(field)).To(Equal(want)) },
+		Entry("usual", "timeout=5, max=100", 5*time.Second),
+		Entry("too large", "timeout=1e300", maxStatedIdle),
+		Entry("infinite", "timeout=Inf", maxStatedIdle),
+		Entry("years", "timeout=9999999999", maxStatedIdle),
+		Entry("not a number", "timeout=NaN", time.Duration(0)),
+		Entry("negative", "timeout=-5", time.Duration(0)),
+		Entry("negative and too large", "timeout=-1e300", time.Duration(0)),
+		Entry("out of range", "timeout=1e400", time.Duration(0)),
+		Entry("words", "timeout=soon", time.Duration(0)),
+	)
+
 	It("stops reusing an idle connection before the timeout that the target states", func() {
 		address := serveResponses(func(r *http.Request, _ string) string {
 			return "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nRequest-Id: " + r.Header.Get("Request-Id") + "\r\nContent-Length: 0\r\n\r\n"
--- a/pkg/upstream/fuzz_test.go
+++ b/pkg/upstream/fuzz_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -18,6 +19,10 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nx"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 0\r\nContent-Length: 90000000000\r\n\r\n"))
 	f.Add([]byte("\x00\xff no response"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 1"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r"))
+	f.Add([]byte("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" + responseText("1", "ok")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nKeep-Alive: timeout=1e300\r\nContent-Length: 0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		const limit = 1 << 10
 		c := New(Options{IDHeader: "Request-Id", Dial: func(context.Context, string, string) (net.Conn, error) {
@@ -42,6 +47,9 @@
 		if id := response.Header.Get("Request-Id"); id != "1" {
 			t.Fatalf("response to request %q", id)
 		}
+		if !bytes.Contains(sent, []byte("\n\n")) && !bytes.Contains(sent, []byte("\n\r\n")) {
+			t.Fatal("a response whose head has no end")
+		}
 		body, complete, err := response.ReadAll(limit)
 		switch {
 		case len(body) > limit+1:
