--- a/pkg/dispatch/notice.go
+++ b/pkg/dispatch/notice.go
@@ -15,9 +15,10 @@
 	// were turned away together would return together.
 	returnSpreadDivisor = 4
 	maxReturnSpread     = time.Second
-	// returnTime is how long after a pause the requests in flight from this host at the target grow to the usual limit. It covers several
-	// processing times, so that the target can ask for a further pause before it is full.
-	returnTime = 2 * time.Second
+	// maxReturnTime bounds the time after a pause in which the requests in flight from this host at the target grow to the usual limit. It
+	// covers several processing times, so that the target can ask for a further pause before it is full. After a shorter pause the time is as
+	// long as the pause, so that a target that is full for a moment is not left idle for seconds.
+	maxReturnTime = 2 * time.Second
 	// peerPausePenalty is the cost of a target that pauses for a peer. It exceeds the differences between targets with a usual load, and is
 	// below the time for which a request would have to wait when all others are full.
 	peerPausePenalty = 300 * time.Millisecond
@@ -47,8 +48,9 @@
 type noticeState struct {
 	leaving   bool
 	leavingAt time.Duration
-	// pausedUntil is the latest end of the pauses that the target asked for. The host returns at returnAt, a random time later.
-	pausedUntil, returnAt time.Duration
+	// pausedUntil is the latest end of the pauses that the target asked for. The host returns at returnAt, a random time later, and may have
+	// as many requests in flight as usual from fullAt on.
+	pausedUntil, returnAt, fullAt time.Duration
 }
 
 // hasLeft reports whether the target gets no more requests because its drain time is over.
@@ -70,15 +72,15 @@
 // inFlightLimit returns the number of requests that this host may have in flight at the target, given the usual limit. It grows from one
 // after a pause.
 func (n *noticeState) inFlightLimit(now time.Duration, limit int) int {
-	if n == nil || n.returnAt == 0 || now >= n.returnAt+returnTime {
+	if n == nil || now >= n.fullAt {
 		return limit
 	}
-	return 1 + int(float64(limit-1)*float64(now-n.returnAt)/float64(returnTime))
+	return 1 + int(float64(limit-1)*float64(now-n.returnAt)/float64(n.fullAt-n.returnAt))
 }
 
 // isOver reports whether the notices have no effect any more.
 func (n *noticeState) isOver(now time.Duration) bool {
-	return !n.leaving && now >= n.returnAt+returnTime
+	return !n.leaving && now >= n.fullAt
 }
 
 // NoticeEffect tells what a notice has changed.
@@ -110,6 +112,7 @@
 		spread := min(notice.Pause/returnSpreadDivisor, maxReturnSpread)
 		n.pausedUntil = until
 		n.returnAt = max(n.returnAt, until+time.Duration(d.options.Rand()*float64(spread)))
+		n.fullAt = n.returnAt + min(n.returnAt-now, maxReturnTime)
 		d.lastReturnAt = max(d.lastReturnAt, n.returnAt)
 		effect.PausedFor = n.returnAt - now
 		d.loadChanged = true
--- a/pkg/dispatch/notice_test.go
+++ b/pkg/dispatch/notice_test.go
@@ -160,7 +160,21 @@
 		Expect(sentBy(pauseTime - ms)).To(BeZero())
 		Expect(sentBy(pauseTime + 200*ms)).To(BeNumerically("<=", hosts/2))
 		Expect(sentBy(pauseTime + maxReturnSpread)).To(And(BeNumerically(">=", hosts), BeNumerically("<", full/2)))
-		Expect(sentBy(pauseTime + maxReturnSpread + returnTime)).To(Equal(full))
+		Expect(sentBy(pauseTime + maxReturnSpread + maxReturnTime)).To(Equal(full))
+	})
+})
+
+var _ = Describe("Short pause", func() {
+	// Guards against targets that are left idle for seconds because they were full for a moment.
+	It("lets the load return within twice its length", func() {
+		d := newDispatcher("n")
+		a := newTarget("a", "n", "east")
+		d.SetTargets(0, []Target{a})
+		answer(d, 0, mustChoose(d, 0, lookupRequest()), Notice{Pause: 100 * ms})
+		Expect(reasonAt(d, 99*ms, lookupRequest())).To(Equal(ReasonPaused))
+		for range a.Slots + maxQueueAtTarget {
+			mustChoose(d, 250*ms, lookupRequest())
+		}
 	})
 })
 
