notice: one decoder of what answers say about further requests

The two-tier mode is to read the same headers. The decoder and its table test move from pkg/entry to pkg/internal/notice, unchanged except for names.

--- a/pkg/dispatch/notice.go
+++ b/pkg/dispatch/notice.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"almondrock.example/almondrock/pkg/internal/notice"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -29,12 +30,7 @@
 )
 
 // Notice is what an answer of a target says about further requests.
-type Notice struct {
-	// Leaving is set if the target is about to stop and wants no new requests.
-	Leaving bool
-	// Pause is how long the target wants no requests from this host; 0 if it does not ask for a pause.
-	Pause time.Duration
-}
+type Notice = notice.Notice
 
 // targetStart identifies one start of a target.
 type targetStart struct {
@@ -93,11 +89,11 @@
 
 // RecordNotice records what an answer to the request for which choice was made says about further requests. It holds for the start of the
 // target that was chosen, whatever views follow.
-func (d *Dispatcher) RecordNotice(now time.Duration, choice *Choice, notice Notice) NoticeEffect {
+func (d *Dispatcher) RecordNotice(now time.Duration, choice *Choice, told Notice) NoticeEffect {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	effect := NoticeEffect{}
-	if notice == (Notice{}) {
+	if told == (Notice{}) {
 		return effect
 	}
 	n := d.noticeState(now, choice.start())
@@ -105,11 +101,11 @@
 	if current := d.targets[choice.ID]; current != nil && current.start() == choice.start() {
 		current.notices = n
 	}
-	if notice.Leaving && !n.leaving {
+	if told.Leaving && !n.leaving {
 		n.leaving, n.leavingAt, effect.Leaving = true, now, true
 	}
-	if until := now + notice.Pause; notice.Pause > 0 && until > n.pausedUntil {
-		spread := min(notice.Pause/returnSpreadDivisor, maxReturnSpread)
+	if until := now + told.Pause; told.Pause > 0 && until > n.pausedUntil {
+		spread := min(told.Pause/returnSpreadDivisor, maxReturnSpread)
 		n.pausedUntil = until
 		n.returnAt = max(n.returnAt, until+time.Duration(d.options.Rand()*float64(spread)))
 		n.fullAt = n.returnAt + min(n.returnAt-now, maxReturnTime)
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -8,6 +8,7 @@
 
 	"almondrock.example/almondrock/pkg/dispatch"
 	"almondrock.example/almondrock/pkg/guard"
+	"almondrock.example/almondrock/pkg/internal/notice"
 	"almondrock.example/almondrock/pkg/upstream"
 )
 
@@ -54,7 +55,7 @@
 		if err != nil {
 			return err
 		}
-		result.response = &response{raw: raw, notice: decodeNotice(x.host.options.Protocol, raw.Response)}
+		result.response = &response{raw: raw, notice: notice.Decode(raw.Response, x.host.options.Protocol.LeavingHeader)}
 		x.host.recordNotice(x.id, choice, result.response.notice)
 		return result.response.read(x.host.options.Protocol, x.host.pacer.maxBuffered)
 	})
