target, ownership: targets that leave or pause in the two-tier mode

An attached host went on sending to a target that had said in its answers that it leaves or wants nothing for a while. It now keeps both by boot, beyond its attachments, and checks them when a request is admitted and before its first byte. A target that leaves is reported with the next lease renewal; the group records that boot as draining until the next one, whatever it announces.

Evidence: specs in target, proxy and ownership. Seen to fail with the check left out, boots not told apart, a pause cut short, the drain time starting again, nothing reported, decoded or recorded, any boot recorded, ready after the next announcement, draining after a restart, and announcements of a target that leaves committed again and again.

--- a/pkg/ownership/apply.go
+++ b/pkg/ownership/apply.go
@@ -72,6 +72,8 @@
 		return t.markTargetLost(c.MarkTargetLost)
 	case *schemav1.GroupCommand_SetTargetWarm:
 		return t.setTargetWarm(c.SetTargetWarm)
+	case *schemav1.GroupCommand_SetTargetLeaving:
+		return t.setTargetLeaving(c.SetTargetLeaving)
 	case *schemav1.GroupCommand_AttachTarget:
 		return t.attachTarget(c.AttachTarget)
 	case *schemav1.GroupCommand_AssignShards:
--- a/pkg/ownership/driver.go
+++ b/pkg/ownership/driver.go
@@ -121,6 +121,7 @@
 	commands := d.registrationCommands()
 	commands = append(commands, d.lossCommands(now)...)
 	commands = append(commands, d.warmStateCommands(now)...)
+	commands = append(commands, d.leavingCommands(now)...)
 	commands = append(commands, d.attachmentCommands(now)...)
 	commands = append(commands, d.placementCommands(now)...)
 	commands = append(commands, d.hotKeyCommands(now)...)
--- a/pkg/ownership/observations.go
+++ b/pkg/ownership/observations.go
@@ -216,7 +216,7 @@
 		return false, nil
 	}
 	observed.sequence, observed.announcedAt = announcement.Sequence, now
-	if record.Lost || announcementChanged(record.Announcement, announcement) {
+	if record.Lost || announcementChanged(record.Announcement, withLeaving(record, announcement)) {
 		d.pendingAnnouncements[announcement.Target] = announcement
 	}
 	return true, nil
--- a/pkg/ownership/targets.go
+++ b/pkg/ownership/targets.go
@@ -49,7 +49,7 @@
 		if announcement.Sequence <= known.Sequence {
 			return false
 		}
-		t.updateTarget(record, func(r *schemav1.TargetRecord) { r.Announcement, r.Lost = announcement, false })
+		t.updateTarget(record, func(r *schemav1.TargetRecord) { r.Announcement, r.Lost = withLeaving(r, announcement), false })
 		return true
 	}
 	t.restartTarget(record, announcement)
@@ -83,7 +83,7 @@
 		if excess := len(r.PastBootIds) - maxPastBoots; excess > 0 {
 			r.PastBootIds = r.PastBootIds[excess:]
 		}
-		r.Announcement, r.Lost, r.Warm = announcement, false, false
+		r.Announcement, r.Lost, r.Warm, r.Leaving = announcement, false, false, false
 	})
 	t.renewFencesOf(announcement.Target)
 }
--- a/pkg/proxy/attached.go
+++ b/pkg/proxy/attached.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/internal/notice"
 	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/target"
 )
@@ -76,6 +77,9 @@
 
 // admitAndSend waits for a slot of the target and sends the request once.
 func (x *exchange) admitAndSend(p nextHop, attached *target.AttachedTarget) (*upstreamResponse, error) {
+	if err := attached.CheckNotices(); err != nil {
+		return nil, err
+	}
 	queuedAt := x.options.Clock()
 	permit, err := attached.Gate().Acquire(x.ctx, target.Ticket{
 		Class: x.resolution.Class, Tenant: x.tenant, Weight: x.resolution.Tenant.GetWeight(), Deadline: x.timeLeft(),
@@ -234,7 +238,7 @@
 		return ownerRefusal(apierr.OwnerUnreachable, "this host's lease is over")
 	}
 	if s.resuming {
-		return nil
+		return s.attached.CheckNotices()
 	}
 	if s.nextHop.fence != nil {
 		x := s.exchange
@@ -276,6 +280,7 @@
 		s.telemetry.discardedResponses(s.service)
 		return s.badResponseRefusal("the target's answer carries another request id or none")
 	}
+	s.inFlightRequest.RecordNotice(notice.Decode(response, target.HeaderLeaving))
 	if response.Header.Get(target.HeaderNotRun) != "" {
 		// The next attempt has the same ID, so a late second copy of this refusal could not be told from its response.
 		reply.Discard()
--- a/pkg/standin/options.go
+++ b/pkg/standin/options.go
@@ -86,6 +86,10 @@
 	Freeze bool
 	// Refuse makes the target refuse all requests with status 503 and the header Almondrock-Not-Run.
 	Refuse bool
+	// RetryAfter is the value of Retry-After in responses to requests that are refused by Refuse; empty for none.
+	RetryAfter string
+	// Leaving makes the target say in all responses that it leaves, while its announcements say that it is ready.
+	Leaving bool
 	// RequestID is the fault of the request id in responses.
 	RequestID RequestIDFault
 	// TruncateAfter closes the connection after this number of bytes of a response body; 0 is off.
--- a/pkg/standin/requests.go
+++ b/pkg/standin/requests.go
@@ -62,7 +62,13 @@
 		request: r, writer: w, faults: faults, releaseSlot: releaseSlot, requestID: r.Header.Get(target.HeaderRequestID), key: r.Header.Get(target.HeaderKey),
 	}
 	s.setRequestID(exchange)
+	if faults.Leaving {
+		w.Header().Set(target.HeaderLeaving, "1")
+	}
 	if faults.Refuse {
+		if faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", faults.RetryAfter)
+		}
 		s.refuse(exchange, http.StatusServiceUnavailable, "shed", &s.counts.Refused)
 		return
 	}
--- a/pkg/target/attached.go
+++ b/pkg/target/attached.go
@@ -48,6 +48,7 @@
 	attached   *AttachedTarget
 	key        RoutedKey
 	shardGrant *shardGrant
+	boot       boot
 	started    time.Duration
 	once       sync.Once
 }
@@ -88,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request := &InFlightRequest{attached: a, key: key, shardGrant: shardGrant, started: a.manager.options.Clock()}
+	request := &InFlightRequest{attached: a, key: key, shardGrant: shardGrant, boot: a.boot(), started: a.manager.options.Clock()}
 	a.inFlightRequests.add(request)
 	a.health.begin(request.started)
 	return request, nil
@@ -108,6 +109,9 @@
 	if a.closed || a.health.isUnreachable() {
 		return nil, apierr.New(apierr.OwnerUnreachable, "the target is not attached here")
 	}
+	if err := a.manager.notices.refusal(a.manager.options.Clock(), a.boot()); err != nil {
+		return nil, err
+	}
 	if key.Fence == nil {
 		return nil, nil
 	}
--- a/pkg/target/contract.go
+++ b/pkg/target/contract.go
@@ -28,6 +28,8 @@
 	HeaderDeadlineAt = "Almondrock-Deadline-At"
 	// HeaderNotRun on a response states that the target refused the request without running it.
 	HeaderNotRun = "Almondrock-Not-Run"
+	// HeaderLeaving on a response, with the value 1, states that the target is about to stop.
+	HeaderLeaving = "Almondrock-Leaving"
 )
 
 // Grant names one shard, or one hot key, and the fence under which the target owns it.
--- a/pkg/target/manager.go
+++ b/pkg/target/manager.go
@@ -48,6 +48,7 @@
 	attached         map[string]*AttachedTarget
 	detached         map[string]*detachedTarget
 	inFlightRequests map[string]*inFlightRequests
+	notices          notices
 }
 
 // NewManager returns a Manager without targets.
@@ -268,7 +269,7 @@
 		announcement := a.Record().GetAnnouncement()
 		report := &schemav1.TargetReport{Target: announcement.GetTarget(), BootId: announcement.GetBootId()}
 		a.health.report(now, announcement.GetSlots(), report)
-		report.Warm = a.isWarm()
+		report.Warm, report.Leaving = a.isWarm(), a.isLeaving()
 		reports = append(reports, report)
 		m.options.Scope.Tagged(map[string]string{metrics.TagTarget: report.GetTarget()}).
 			Gauge(metrics.TargetConnections).Update(float64(a.OpenConnections()))
