raft: no echo in messages from before the first commit in the term of the leader

A message that a new leader creates before it has committed an entry of its term has a commit index that may lack commits of earlier leaders.

Only messages whose commit index is of the leader's term now get an echo.

--- a/pkg/raft/confirmation.go
+++ b/pkg/raft/confirmation.go
@@ -58,17 +58,22 @@
 }
 
 // addEchoes completes the messages of a leader that have its commit index. It does so when they are handed out, because the lease is then
-// computed once for all of them. Without the lease there may be another leader, whose commits this member does not know.
+// computed once for all of them. Without the lease there may be another leader, whose commits this member does not know. A message from before
+// the first commit in the term may lack commits of earlier leaders.
 func (n *Node) addEchoes() {
 	if len(n.messages) == 0 || n.LeaseEnd() <= n.now {
 		return
 	}
 	for _, m := range n.messages {
+		index := uint64(0)
 		switch m.GetType() {
-		case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT:
-			if p := n.progress[m.GetTo()]; p != nil {
-				m.Echo = p.sentAt
-			}
+		case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND:
+			index = m.GetCommit()
+		case schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT:
+			index = m.GetIndex()
+		}
+		if p := n.progress[m.GetTo()]; p != nil && index >= n.termStartIndex {
+			m.Echo = p.sentAt
 		}
 	}
 }
--- a/pkg/raft/confirmation_test.go
+++ b/pkg/raft/confirmation_test.go
@@ -46,6 +46,32 @@
 		Expect(n.confirmations.known).To(BeTrue())
 	})
 
+	// Guards against a member that counts as up to date without the last acknowledged entries, and passes them off as a first view: the
+	// message is created before the commit in the term of the leader, and sent after it.
+	It("are given only in messages that have a commit index of its own term", func() {
+		n := newTestLeader(4, 5)
+		n.TickBy(DefaultHeartbeatTicks)
+		drain(n)
+		respond(n, 77)
+		Expect(n.Step(&schemav1.RaftMessage{
+			Type: schemav1.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, From: 3, To: 1, Term: n.term, Index: 4, SentAt: 50,
+		})).To(Succeed())
+		Expect(n.LeaseEnd()).To(BeNumerically(">", n.now))
+		earlier, confirmed := 0, 0
+		for _, m := range drain(n) {
+			switch {
+			case m.GetType() != appendMessage:
+			case m.GetCommit() < 4:
+				earlier++
+				Expect(m.GetEcho()).To(BeZero())
+			case m.GetEcho() != 0:
+				confirmed++
+			}
+		}
+		Expect(earlier).To(BeNumerically(">", 0))
+		Expect(confirmed).To(BeNumerically(">", 0))
+	})
+
 	It("end with its lease, also for its own state", func() {
 		n := newTestLeader()
 		acknowledgeAsMember2(n, 2)
