httpserver: the spec of a request that crosses the close of its idle connection waits until it is idle

Cause: it marks the connection as closing although the reader may not wait for a request yet, a state that closeIfIdle never makes; the request is then not read. It now waits for that state first, as closeIfIdle does; its checks are the same.

--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -482,6 +482,12 @@
 		for only = range s.conns {
 		}
 		s.mu.Unlock()
+		// Only a connection that waits for a request is closed as idle.
+		Eventually(func() bool {
+			only.mu.Lock()
+			defer only.mu.Unlock()
+			return only.awaitingRequest
+		}).Should(BeTrue())
 		// The request has been read into the buffer when the decision to close is made.
 		only.mu.Lock()
 		c.send(get("/2"))
