registrar: the spec of a target that is cold again waits until each host has applied it

A commit is known to the leader first, which may be the third host; the others apply it with its next message. The spec now waits for all four hosts. With the fault that it guards against, nothing is committed, so that it still fails.

--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -216,5 +216,7 @@
 	Expect(announce(cut, 3, true)).NotTo(Succeed())
 	p.address.Store(nil)
 	Eventually(announce, "10s").WithArguments(cut, uint64(4), true).Should(Succeed())
-	Expect(isCold(hosts[0]) || isCold(hosts[1])).To(BeTrue())
+	for _, r := range hosts {
+		Eventually(isCold, "10s").WithArguments(r).Should(BeTrue(), r.options.Name)
+	}
 })
