dispatch: take the lock for the notices of an answer only if there are any

Each answer of a target took the dispatcher's lock to find out that it has nothing to record. The check needs no lock and now comes first; behaviour is the same. go test -race ./pkg/dispatch and the linter pass.

--- a/pkg/dispatch/notice.go
+++ b/pkg/dispatch/notice.go
@@ -90,12 +90,12 @@
 // RecordNotice records what an answer to the request for which choice was made says about further requests. It holds for the start of the
 // target that was chosen, whatever views follow.
 func (d *Dispatcher) RecordNotice(now time.Duration, choice *Choice, told Notice) NoticeEffect {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	effect := NoticeEffect{}
 	if told == (Notice{}) {
 		return effect
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	n := d.noticeState(now, choice.start())
 	choice.target.notices = n
 	if current := d.targets[choice.ID]; current != nil && current.start() == choice.start() {
