grants: a restarted owner releases its keys before they move

Cause: a grant names the ID of a target, not its start. After a quick restart under the same ID the leader grants the keys to the new process, over a new connection and with a higher fence, before it knows the new start. When the start was committed, processRange assigned the range to another target at once, as if the process that held it had ended.

The new table "waits for the new process of an owner ..." failed before in all its entries with "t0 still holds a key granted to t1"; the random model test now announces restarts late.

Change: the new process has to release the range, or its grant has to expire. While a call without a response may still take effect, the new process keeps the keys under a higher fence. A range without a call under its current fence is granted and released first, because a release ends only grants of its own fence.

Conclusion: what a leader has granted counts until it is released or expired, whatever it learns about the process.

--- a/pkg/grants/manager.go
+++ b/pkg/grants/manager.go
@@ -256,15 +256,13 @@
 	owner, _ := m.state.Target(r.GetOwner())
 	current := owner != nil && owner.GetLife() != schemav1.Life_LIFE_GONE && owner.GetStartedUnixMs() == r.GetOwnerStartedUnixMs()
 	restarted := owner != nil && owner.GetStartedUnixMs() > r.GetOwnerStartedUnixMs()
-	isCandidate := current && slices.ContainsFunc(candidates, func(c Candidate) bool { return c.GetId() == r.GetOwner() })
 	now := m.clock()
 	switch {
 	case r.GetOwner() == "":
 		return m.assign(ctx, service, r, table, candidates, "", "owner missing")
 	case restarted:
-		// The process that held the keys has ended.
-		return m.assign(ctx, service, r, table, candidates, "", "owner restarted")
-	case r.GetState() == schemav1.RangeState_RANGE_STATE_RELEASING, !isCandidate && current:
+		return m.reassignRestarted(ctx, service, r, record, table, candidates, owner)
+	case r.GetState() == schemav1.RangeState_RANGE_STATE_RELEASING, current && !isCandidate(candidates, r.GetOwner()):
 		return m.release(ctx, service, r, record, table, candidates, owner)
 	case !current:
 		// The process of a target that was marked as gone may keep running for a while, and holds its keys until the grant expires.
@@ -280,6 +278,11 @@
 	}
 }
 
+// isCandidate reports whether a target is among the candidates.
+func isCandidate(candidates []Candidate, target string) bool {
+	return slices.ContainsFunc(candidates, func(c Candidate) bool { return c.GetId() == target })
+}
+
 // newGrant returns the grant of a range for a call to its owner.
 func (m *Manager) newGrant(owner *schemav1.Registration, r *schemav1.KeyRange) *Grant {
 	return &Grant{
@@ -302,31 +305,42 @@
 		m.markUnresponsive(r.GetOwner())
 		return m.assign(ctx, service, r, table, candidates, r.GetOwner(), "owner unresponsive until its grant expired")
 	}
+	if pause, confirmed := m.grant(ctx, service, r, record, owner); !confirmed {
+		return pause
+	}
+	if r.GetState() != schemav1.RangeState_RANGE_STATE_GRANTING {
+		return renewInterval
+	}
+	m.proposeRangeState(ctx, service, r, schemav1.RangeState_RANGE_STATE_ACTIVE)
+	return renewInterval / 2
+}
+
+// grant calls the owner of a range with a grant and records the result. If the owner has not confirmed the grant, pause is the time until
+// the next attempt.
+func (m *Manager) grant(
+	ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord, owner *schemav1.Registration,
+) (pause time.Duration, confirmed bool) {
 	callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	if !m.proposer.HoldsLeaderLease() {
-		return retryInterval
+		return retryInterval, false
 	}
 	g := m.newGrant(owner, r)
 	g.Handover, g.Renewal = record.handover, record.beginGrant()
 	err := m.granter.Grant(callCtx, g)
 	if errors.Is(err, ErrConnectionClosed) {
-		return m.raiseFence(ctx, service, r, record, "connection closed")
+		return m.raiseFence(ctx, service, r, record, "connection closed"), false
 	}
 	now := m.clock()
 	if err == nil {
 		record.grantConfirmed(now)
-		if r.GetState() != schemav1.RangeState_RANGE_STATE_GRANTING {
-			return renewInterval
-		}
-		m.proposeRangeState(ctx, service, r, schemav1.RangeState_RANGE_STATE_ACTIVE)
-		return renewInterval / 2
+		return 0, true
 	}
 	klog.InfoS("grant failed", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "fence", r.GetFence(),
 		"target", r.GetOwner(), "err", err)
 	if isStaleFence(err) {
 		// The owner may hold the keys under an older fence, so they must not move at once.
-		return max(retryInterval, m.raiseFence(ctx, service, r, record, "target has a higher fence"))
+		return max(retryInterval, m.raiseFence(ctx, service, r, record, "target has a higher fence")), false
 	}
 	if !hadNoEffect(err) {
 		record.grantUnconfirmed(now)
@@ -334,16 +348,56 @@
 	if record.grantFailed(now) {
 		m.markUnresponsive(r.GetOwner())
 	}
-	return retryInterval
+	return retryInterval, false
+}
+
+// reassignRestarted gives a range whose owner has started again to the best candidate. The process to which the keys were granted first has
+// ended. But a call names only the ID of the target, so that one since the restart may have granted the keys to the new process, which
+// then has to release them before they can move.
+func (m *Manager) reassignRestarted(
+	ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord, table *schemav1.KeyTable, candidates []Candidate,
+	owner *schemav1.Registration,
+) time.Duration {
+	const reason = "owner restarted"
+	now := m.clock()
+	switch {
+	case record.isExpired(now):
+		return m.assign(ctx, service, r, table, candidates, "", reason)
+	case record.isUnconfirmed(now):
+		// A call without a response may still grant the keys to the new process, also after a release. No other target can have them until
+		// then, so it serves them meanwhile.
+		return m.changeRange(ctx, service, r, record, owner.GetStartedUnixMs(), schemav1.RangeState_RANGE_STATE_GRANTING, reason)
+	case !record.canRelease() && !isCandidate(candidates, r.GetOwner()):
+		return min(retryInterval, record.expiresAt-now)
+	case !record.canRelease():
+		// The new process may hold the keys under an earlier fence. A grant under the current one replaces it, and can be released.
+		if pause, confirmed := m.grant(ctx, service, r, record, owner); !confirmed {
+			return pause
+		}
+	}
+	// The new process may never have held the keys, so the next owner cannot rely on its handover.
+	if _, released := m.callRelease(ctx, service, r, record, owner); !released {
+		return retryInterval
+	}
+	record.ownerReleased(m.clock(), "")
+	return m.assign(ctx, service, r, table, candidates, "", reason)
 }
 
 // raiseFence raises the fence of a range that stays with its owner. A grant that the owner has under the old fence stays valid.
 func (m *Manager) raiseFence(ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord, reason string) time.Duration {
+	return m.changeRange(ctx, service, r, record, r.GetOwnerStartedUnixMs(), r.GetState(), reason)
+}
+
+// changeRange commits a start of the owner and a state of a range that stays with its owner, under a higher fence. A grant that the owner has
+// under the old fence stays valid.
+func (m *Manager) changeRange(
+	ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord, ownerStarted int64, state schemav1.RangeState, reason string,
+) time.Duration {
 	change := &schemav1.RangeChange{Service: service, ExpectedFence: r.GetFence(), Range: &schemav1.KeyRange{
-		First: r.GetFirst(), Last: r.GetLast(), Owner: r.GetOwner(), OwnerStartedUnixMs: r.GetOwnerStartedUnixMs(), State: r.GetState(),
+		First: r.GetFirst(), Last: r.GetLast(), Owner: r.GetOwner(), OwnerStartedUnixMs: ownerStarted, State: state,
 	}}
 	result, err := m.proposer.Propose(ctx, &schemav1.RegistryCommand{Range: change})
-	klog.V(1).InfoS("fence raised", "service", service, "first", r.GetFirst(), "target", r.GetOwner(),
+	klog.V(1).InfoS("fence raised", "service", service, "first", r.GetFirst(), "target", r.GetOwner(), "ownerStarted", ownerStarted,
 		"fence", result.GetFence(), "applied", result.GetApplied(), "reason", reason, "err", err)
 	if err != nil || !result.GetApplied() {
 		return retryInterval
@@ -376,12 +430,8 @@
 	if !record.canRelease() {
 		return min(retryInterval, record.expiresAt-m.clock())
 	}
-	callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, record.expiresAt-m.clock()))
-	defer cancel()
-	handover, err := m.granter.Release(callCtx, m.newGrant(owner, r))
-	if err != nil {
-		klog.InfoS("release failed", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "fence", r.GetFence(),
-			"target", r.GetOwner(), "err", err)
+	handover, released := m.callRelease(ctx, service, r, record, owner)
+	if !released {
 		return retryInterval
 	}
 	now := m.clock()
@@ -392,6 +442,20 @@
 	return m.assign(ctx, service, r, table, candidates, r.GetOwner(), "released")
 }
 
+// callRelease asks the owner of a range to release it, until its grant has expired.
+func (m *Manager) callRelease(
+	ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord, owner *schemav1.Registration,
+) (handover string, released bool) {
+	callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, record.expiresAt-m.clock()))
+	defer cancel()
+	handover, err := m.granter.Release(callCtx, m.newGrant(owner, r))
+	if err != nil {
+		klog.InfoS("release failed", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "fence", r.GetFence(),
+			"target", r.GetOwner(), "err", err)
+	}
+	return handover, err == nil
+}
+
 // assign chooses and commits the next owner of a range that no target holds any more. avoid is a target to pass over, or empty.
 func (m *Manager) assign(
 	ctx context.Context, service string, r *schemav1.KeyRange, table *schemav1.KeyTable, candidates []Candidate, avoid, reason string,
--- a/pkg/grants/manager_test.go
+++ b/pkg/grants/manager_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -327,6 +329,57 @@
 		Expect(h.activeRanges("t0")).To(Equal(initialRangesPerOwner), "the process is granted the keys under a new fence")
 	})
 
+	DescribeTable("waits for the new process of an owner that was granted the keys before its start was announced (two owners after a quick restart)",
+		func(unresponsive bool, afterGrant func(*harness)) {
+			targets := owners(3)
+			h := newHarness(targets)
+			h.run(5 * time.Second)
+			h.mu.Lock()
+			h.process["t0"]++
+			delete(h.heldUntil, "t0")
+			h.unresponsive["t0"] = unresponsive
+			h.mu.Unlock()
+			h.run(renewInterval + 200*time.Millisecond)
+			Expect(slices.Max(slices.Collect(maps.Values(h.heldUntil["t0"])))).To(BeNumerically(">", h.now), "the new process holds keys")
+			h.mu.Lock()
+			h.unresponsive["t0"] = false
+			afterGrant(h)
+			h.mu.Unlock()
+			restarted := proto.Clone(targets[0]).(*schemav1.Registration)
+			restarted.StartedUnixMs, restarted.Cold = restarted.StartedUnixMs+1, true
+			h.mustApply(&schemav1.RegistryCommand{Registration: restarted})
+			h.run(2 * maxGrantAge)
+			for _, r := range h.state.Keys("files").GetRanges() {
+				Expect(h.heldUntil[r.GetOwner()][r.GetFirst()]).To(BeNumerically(">", h.now), "range %d", r.GetFirst())
+			}
+		},
+		Entry("while all calls are answered", false, func(*harness) {}),
+		Entry("by a call without a response", true, func(*harness) {}),
+		Entry("over a connection that is closed since", false, func(h *harness) { h.connectedProcess = map[uint64]int{} }),
+		Entry("by an earlier leader", false, func(h *harness) {
+			h.connectedProcess = map[uint64]int{}
+			h.manager = New(h.state, h, h, h.clock)
+		}),
+	)
+
+	It("serves the keys of a restarted owner again within two calls if no call is without a response", func() {
+		targets := owners(3)
+		h := newHarness(targets)
+		h.run(5 * time.Second)
+		h.mu.Lock()
+		h.process["t0"]++
+		delete(h.heldUntil, "t0")
+		h.mu.Unlock()
+		restarted := proto.Clone(targets[0]).(*schemav1.Registration)
+		restarted.StartedUnixMs, restarted.Cold = restarted.StartedUnixMs+1, true
+		h.mustApply(&schemav1.RegistryCommand{Registration: restarted})
+		h.run(renewInterval + 200*time.Millisecond)
+		for _, r := range h.state.Keys("files").GetRanges() {
+			Expect(r.GetOwner()).NotTo(Equal("t0"), "a cold target gets no keys while there are others")
+			Expect(h.heldUntil[r.GetOwner()][r.GetFirst()]).To(BeNumerically(">", h.now))
+		}
+	})
+
 	It("raises the fences of all keys after a change of leader, because it does not know which processes the previous leader called", func() {
 		h := newHarness(owners(2))
 		h.run(5 * time.Second)
--- a/pkg/grants/model_test.go
+++ b/pkg/grants/model_test.go
@@ -32,6 +32,8 @@
 	connections map[string]bool
 	late        []lateGrant
 	mode        string
+	// announceAt is when the start of the current process is announced, or 0 if it has been.
+	announceAt time.Duration
 }
 
 type lateGrant struct {
@@ -219,6 +221,10 @@
 			}
 		}
 		t.late = waiting
+		if t.announceAt > 0 && m.now >= t.announceAt {
+			t.announceAt = 0
+			m.apply(&schemav1.RegistryCommand{Registration: t.registration})
+		}
 	}
 }
 
@@ -248,8 +254,11 @@
 		next := proto.Clone(target.registration).(*schemav1.Registration)
 		next.StartedUnixMs++
 		target.registration = next
+		if target.announceAt = m.now + time.Duration(rapid.IntRange(0, 60).Draw(t, "announced after"))*50*time.Millisecond; target.announceAt == m.now {
+			target.announceAt = 0
+			m.apply(&schemav1.RegistryCommand{Registration: next})
+		}
 		m.mu.Unlock()
-		m.apply(&schemav1.RegistryCommand{Registration: next})
 	case "leader":
 		m.changeLeader()
 	case "connections":
