registrar: an order that is held up does not undo a newer one

Cause: evacuations, and removals of targets that state no start, had no number by which an older order could be told from a newer one. A call between registry hosts that has timed out may still arrive seconds later.

Change: each order for a data centre has a number in the replicated state. A registry host reads the last one from the leader when it receives an order, and the registry refuses an order that contradicts a later one. Removals without a start refer to the start that is registered when they are received.

Conclusion: deadlines and closed connections do not bound the age of an order; only what it was based on does.

--- a/pkg/entry/announce.go
+++ b/pkg/entry/announce.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/registrar"
@@ -55,7 +56,11 @@
 func (h *Host) RemoveTarget(ctx context.Context, id string, started int64) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	return h.passOn(ctx, &schemav1.TargetAnnouncement{Registration: &schemav1.Registration{Id: id, StartedUnixMs: started}, Removed: true})
+	removal := &schemav1.TargetAnnouncement{Registration: &schemav1.Registration{Id: id, StartedUnixMs: started}, Removed: true}
+	if started == 0 {
+		removal.KnownStartedUnixMs = proto.Int64(h.current().targets[id].GetStartedUnixMs())
+	}
+	return h.passOn(ctx, removal)
 }
 
 // passOn sends an announcement to the registry host from which this host gets its view, until ctx ends.
@@ -64,7 +69,11 @@
 	if address == nil {
 		return merry.Wrap(ErrNoRelay)
 	}
-	err := h.registryClient.Call(ctx, *address, registrar.MethodAnnounce, announcement, &schemav1.TargetAnnouncementAnswer{})
+	answer := &schemav1.TargetAnnouncementAnswer{}
+	err := h.registryClient.Call(ctx, *address, registrar.MethodAnnounce, announcement, answer)
+	if err == nil && answer.GetUnknownTarget() {
+		err = merry.Wrap(registrar.ErrUnknownTarget)
+	}
 	klog.InfoS("announcement passed on", "target", announcement.GetRegistration().GetId(), "life", announcement.GetRegistration().GetLife(),
 		"removed", announcement.GetRemoved(), "leaving", announcement.GetLeaving(), "registry", *address, "err", err)
 	return err
--- a/pkg/registrar/errors.go
+++ b/pkg/registrar/errors.go
@@ -14,4 +14,8 @@
 	ErrOutdated = merry.Sentinel("the configuration of this host may be outdated")
 	// ErrNotJoined means that this host is not a member of the group yet.
 	ErrNotJoined = merry.Sentinel("this host has not joined the registry yet")
+	// ErrUnknownTarget means that no target with this ID is registered.
+	ErrUnknownTarget = merry.Sentinel("the target is not registered")
+	// ErrOvertaken means that what the order refers to has changed since the order was received.
+	ErrOvertaken = merry.Sentinel("a later order has been carried out")
 )
--- /dev/null
+++ b/pkg/registrar/orders.go
@@ -0,0 +1,115 @@
+package registrar
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// Evacuations, and removals that do not state a start, have no number by which an older one could be told from a newer one. They may arrive
+// late: held up by a partition between their caller and this host or between this host and the leader, or by a pause of a host. Their caller
+// has then turned to another host and may have given newer orders there, which a late one must not undo. So this host reads from the leader
+// what the order refers to, and proposes the order with it. The registry refuses the order if that has changed.
+
+// commitOrder commits an order without a number. command returns the command for what the registry held after the order was received, or nil
+// if it holds what is ordered.
+func (r *Registrar) commitOrder(
+	ctx context.Context, read *schemav1.CurrentRead, command func(*schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error),
+) error {
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	current, err := retry(ctx, func(ctx context.Context) (*schemav1.CurrentReadAnswer, error) { return r.readCurrent(ctx, read) })
+	if err != nil {
+		return err
+	}
+	order, err := command(current)
+	if err != nil || order == nil {
+		return err
+	}
+	result, err := r.proposeWithRetry(ctx, order)
+	if err == nil && result.GetOvertaken() {
+		err = merry.Wrap(ErrOvertaken)
+	}
+	return err
+}
+
+// readCurrent reads from the leader what the registry holds now.
+func (r *Registrar) readCurrent(ctx context.Context, read *schemav1.CurrentRead) (*schemav1.CurrentReadAnswer, error) {
+	leader, err := r.readBarrier(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if leader == "" {
+		return r.current(read), nil
+	}
+	answer := &schemav1.CurrentReadAnswer{}
+	return answer, r.client.Call(ctx, leader, methodCurrent, read, answer)
+}
+
+func (r *Registrar) handleCurrent(ctx context.Context, read *schemav1.CurrentRead) (*schemav1.CurrentReadAnswer, error) {
+	replica := r.currentReplica()
+	if replica == nil {
+		return nil, merry.Wrap(ErrNotJoined)
+	}
+	if err := replica.ReadBarrier(ctx); err != nil {
+		return nil, err
+	}
+	return r.current(read), nil
+}
+
+// current returns what the state of this host holds.
+func (r *Registrar) current(read *schemav1.CurrentRead) *schemav1.CurrentReadAnswer {
+	target, _ := r.state.Target(read.GetTarget())
+	return &schemav1.CurrentReadAnswer{EvacuationOrder: r.state.EvacuationOrder(read.GetDataCentre()), Target: target}
+}
+
+// SetEvacuated evacuates a data centre if evacuated is set; otherwise it puts it back into service. It fails with ErrOvertaken if
+// another order for the data centre has been carried out since it was received; it has no effect then.
+func (r *Registrar) SetEvacuated(ctx context.Context, dataCentre string, evacuated bool) error {
+	number := uint64(0)
+	err := r.commitOrder(ctx, &schemav1.CurrentRead{DataCentre: dataCentre}, func(current *schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error) {
+		number = current.GetEvacuationOrder()
+		return &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{
+			DataCentre: dataCentre, Out: evacuated, ExpectedOrder: proto.Uint64(number),
+		}}, nil
+	})
+	klog.InfoS("evacuation ordered", "dataCentre", dataCentre, "out", evacuated, "after", number, "err", err)
+	return err
+}
+
+// RemoveTarget marks a target as gone. started is the start time of the target in Unix milliseconds, or 0 if it is not known; the target must
+// be registered then. It fails with ErrUnknownTarget if it is not, and with ErrOvertaken if the removal may be older than the start
+// that is registered.
+func (r *Registrar) RemoveTarget(ctx context.Context, id string, started int64) error {
+	return r.removeTarget(ctx, id, started, nil)
+}
+
+// removeTarget marks a target as gone. knownStart is the start that the entry host knew which passes on a removal without a start.
+func (r *Registrar) removeTarget(ctx context.Context, id string, started int64, knownStart *int64) error {
+	removal := func(started int64) *schemav1.RegistryCommand {
+		return &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: id, StartedUnixMs: started}}
+	}
+	var err error
+	if started != 0 {
+		_, err = r.proposeWithRetry(ctx, removal(started))
+	} else {
+		err = r.commitOrder(ctx, &schemav1.CurrentRead{Target: id}, func(current *schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error) {
+			started = current.GetTarget().GetStartedUnixMs()
+			switch {
+			case started == 0:
+				return nil, merry.Wrap(ErrUnknownTarget)
+			case current.GetTarget().GetLife() == schemav1.Life_LIFE_GONE:
+				return nil, nil
+			case knownStart != nil && *knownStart != started:
+				return nil, merry.Wrap(ErrOvertaken)
+			}
+			return removal(started), nil
+		})
+	}
+	klog.InfoS("target left", "target", id, "started", started, "err", err)
+	return err
+}
--- /dev/null
+++ b/pkg/registrar/orders_test.go
@@ -0,0 +1,113 @@
+package registrar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"almondrock.example/almondrock/pkg/rpc"
+	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+)
+
+// heldForwards is a client on whose way to the leader commands are held up. They arrive after their caller has given up, when release is
+// called.
+type heldForwards struct {
+	rpc.Client
+	mu   sync.Mutex
+	held []func()
+}
+
+func (c *heldForwards) Call(ctx context.Context, address, method string, request, response proto.Message) error {
+	if method != methodForward {
+		return c.Client.Call(ctx, address, method, request, response)
+	}
+	c.mu.Lock()
+	c.held = append(c.held, func() {
+		late, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Expect(c.Client.Call(late, address, method, request, &schemav1.RegistryForwarded{})).To(Succeed())
+	})
+	c.mu.Unlock()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// release delivers what is held, and returns how many commands there were.
+func (c *heldForwards) release() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, deliver := range c.held {
+		deliver()
+	}
+	return len(c.held)
+}
+
+var _ = Describe("Order that is held up on its way to the leader", func() {
+	var hosts []*Registrar
+	var late, leader *Registrar
+	var held *heldForwards
+	BeforeEach(func() {
+		hosts = startGroup(&partition{})
+		for _, r := range hosts {
+			Eventually(says, "10s").WithArguments(r).Should(BeTrue())
+		}
+		late = hosts[3]
+		for _, r := range hosts {
+			if r.options.PeerAddress == late.currentReplica().Status().LeaderAddress {
+				leader = r
+			}
+		}
+		held = &heldForwards{Client: late.client}
+		late.client = held
+	})
+
+	// Guards against an evacuated data centre that gets requests again, because an order which its caller had given up and repeated elsewhere
+	// is carried out after a newer one (EVAC, review/2).
+	It("does not undo a newer evacuation", func() {
+		evacuate := func(out bool) { Expect(leader.SetEvacuated(context.Background(), "n", out)).To(Succeed()) }
+		evacuate(true)
+		Expect(late.SetEvacuated(context.Background(), "n", false)).NotTo(Succeed())
+		evacuate(false)
+		evacuate(true)
+		Expect(held.release()).To(BeNumerically(">", 0))
+		for _, r := range hosts {
+			Consistently(func() bool { return r.state.IsEvacuated("n") }, "300ms").Should(BeTrue())
+		}
+	})
+
+	// Guards against a target that never gets requests again, because a removal that states no start ends the start after the one it meant.
+	It("does not remove a later start of a target", func() {
+		start := func(started int64) {
+			GinkgoHelper()
+			document := &schemav1.RouteDocument{Revision: 1, Body: []byte("{}")}
+			Eventually(func() error { return leader.SubmitConfiguration(context.Background(), document) }, "10s").Should(Succeed())
+			Eventually(func() error {
+				_, err := leader.Announce(context.Background(), &schemav1.Registration{
+					Id: "t", Service: "desk", Address: "10.0.0.1:1", StartedUnixMs: started, Life: schemav1.Life_LIFE_READY,
+				}, 1)
+				return err
+			}, "10s").Should(Succeed())
+		}
+		start(1)
+		Expect(late.RemoveTarget(context.Background(), "t", 0)).NotTo(Succeed())
+		Expect(leader.RemoveTarget(context.Background(), "t", 0)).To(Succeed())
+		start(2)
+		Expect(held.release()).To(BeNumerically(">", 0))
+		Consistently(func() schemav1.Life {
+			target, _ := leader.state.Target("t")
+			return target.GetLife()
+		}, "300ms").Should(Equal(schemav1.Life_LIFE_READY))
+	})
+})
+
+var _ = Describe("Order", func() {
+	It("that removes a target which is not registered is not acknowledged", func() {
+		hosts := startGroup(&partition{})
+		Eventually(says, "10s").WithArguments(hosts[3]).Should(BeTrue())
+		Expect(hosts[3].RemoveTarget(context.Background(), "t", 0)).To(MatchError(ErrUnknownTarget))
+	})
+})
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -26,6 +27,7 @@
 const (
 	methodForward  = "Registry.Forward"
 	methodRead     = "Registry.Read"
+	methodCurrent  = "Registry.Current"
 	methodJoin     = "Registry.Join"
 	methodKeyLoads = "Registry.KeyLoads"
 	methodWatching = "Registry.Watching"
@@ -54,6 +56,7 @@
 func (r *Registrar) registerHandlers() {
 	rpc.Register(r.server, methodForward, r.handleForward)
 	rpc.Register(r.server, methodRead, r.handleRead)
+	rpc.Register(r.server, methodCurrent, r.handleCurrent)
 	rpc.Register(r.server, methodJoin, r.handleJoin)
 	rpc.Register(r.server, methodKeyLoads, r.handleKeyLoads)
 	rpc.Register(r.server, methodWatching, r.handleWatching)
@@ -321,20 +324,24 @@
 
 // proposeWithRetry proposes a command until a proposal succeeds or proposalTimeout has passed.
 func (r *Registrar) proposeWithRetry(ctx context.Context, command *schemav1.RegistryCommand) (*schemav1.RegistryResult, error) {
+	began := time.Now()
+	result, err := retry(ctx, func(ctx context.Context) (*schemav1.RegistryResult, error) { return r.Propose(ctx, command) })
+	if err != nil {
+		r.recordProposal("failed", began)
+		return nil, err
+	}
+	r.recordProposal("committed", began)
+	return result, nil
+}
+
+// retry makes attempts until one succeeds or proposalTimeout has passed. It returns the error of the last attempt.
+func retry[T any](ctx context.Context, attempt func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 	defer cancel()
-	began := time.Now()
 	for {
-		result, err := r.Propose(ctx, command)
-		if err == nil {
-			r.recordProposal("committed", began)
-			return result, nil
-		}
-		select {
-		case <-ctx.Done():
-			r.recordProposal("failed", began)
-			return nil, err
-		case <-time.After(retryInterval):
+		result, err := attempt(ctx)
+		if err == nil || !monotonic.Sleep(ctx, retryInterval) {
+			return result, err
 		}
 	}
 }
@@ -382,7 +389,11 @@
 func (r *Registrar) handleAnnounce(ctx context.Context, request *schemav1.TargetAnnouncement) (*schemav1.TargetAnnouncementAnswer, error) {
 	target := request.GetRegistration()
 	if request.GetRemoved() {
-		return &schemav1.TargetAnnouncementAnswer{}, r.RemoveTarget(ctx, target.GetId(), target.GetStartedUnixMs())
+		err := r.removeTarget(ctx, target.GetId(), target.GetStartedUnixMs(), request.KnownStartedUnixMs)
+		if errors.Is(err, ErrUnknownTarget) {
+			return &schemav1.TargetAnnouncementAnswer{UnknownTarget: true}, nil
+		}
+		return &schemav1.TargetAnnouncementAnswer{}, err
 	}
 	if request.GetLeaving() {
 		return &schemav1.TargetAnnouncementAnswer{}, r.recordLeaving(ctx, target.GetId(), target.GetStartedUnixMs())
@@ -414,13 +425,6 @@
 	return ""
 }
 
-// RemoveTarget marks a target as gone. started is the start time of the target in Unix milliseconds, or 0 if it is not known.
-func (r *Registrar) RemoveTarget(ctx context.Context, id string, started int64) error {
-	_, err := r.proposeWithRetry(ctx, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: id, StartedUnixMs: started}})
-	klog.InfoS("target left", "target", id, "started", started, "err", err)
-	return err
-}
-
 // SubmitConfiguration puts a configuration in force, unless one with the same or a higher revision is in force already.
 func (r *Registrar) SubmitConfiguration(ctx context.Context, document *schemav1.RouteDocument) error {
 	result, err := r.proposeWithRetry(ctx, &schemav1.RegistryCommand{Routes: document})
@@ -431,42 +435,27 @@
 
 // ReadConfiguration returns the newest configuration of the whole deployment, or nil if there is none. This host may not have it yet.
 func (r *Registrar) ReadConfiguration(ctx context.Context) (*schemav1.RouteDocument, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
-	defer cancel()
-	for {
-		document, err := r.tryReadConfiguration(ctx)
-		if err == nil {
-			return document, nil
-		}
-		select {
-		case <-ctx.Done():
-			klog.InfoS("configuration not read", "err", err)
-			return nil, err
-		case <-time.After(retryInterval):
-		}
+	document, err := retry(ctx, r.tryReadConfiguration)
+	if err != nil {
+		klog.InfoS("configuration not read", "err", err)
+		return nil, err
 	}
+	return document, nil
 }
 
 // tryReadConfiguration makes one attempt to read the newest configuration. A host that is not the leader asks the leader, which sends
 // the document only if its revision differs from the one that this host has.
 func (r *Registrar) tryReadConfiguration(ctx context.Context) (*schemav1.RouteDocument, error) {
-	replica := r.currentReplica()
-	if replica == nil {
-		return nil, merry.Wrap(ErrNotJoined)
+	leader, err := r.readBarrier(ctx)
+	if err != nil {
+		return nil, err
 	}
-	status := replica.Status()
-	if status.Role == raft.Leader {
-		if err := replica.ReadBarrier(ctx); err != nil {
-			return nil, err
-		}
+	if leader == "" {
 		return r.state.Routes(), nil
 	}
-	if status.LeaderAddress == "" {
-		return nil, merry.Wrap(ErrNoLeader)
-	}
 	held := r.state.Routes()
 	response := &schemav1.RoutesReadAnswer{}
-	if err := r.client.Call(ctx, status.LeaderAddress, methodRead, &schemav1.RoutesRead{Held: held.GetRevision()}, response); err != nil {
+	if err := r.client.Call(ctx, leader, methodRead, &schemav1.RoutesRead{Held: held.GetRevision()}, response); err != nil {
 		return nil, err
 	}
 	if held != nil && response.GetRoutes().GetRevision() == held.GetRevision() {
@@ -475,9 +464,19 @@
 	return response.GetRoutes(), nil
 }
 
-// SetEvacuated evacuates a data centre if evacuated is set; otherwise it puts it back into service.
-func (r *Registrar) SetEvacuated(ctx context.Context, dataCentre string, evacuated bool) error {
-	_, err := r.proposeWithRetry(ctx, &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{DataCentre: dataCentre, Out: evacuated}})
-	klog.InfoS("evacuation ordered", "dataCentre", dataCentre, "out", evacuated, "err", err)
-	return err
+// readBarrier returns when the state of this host has everything that was committed before the call, if this host is the leader. Otherwise
+// it returns the address of the leader, which has to be asked.
+func (r *Registrar) readBarrier(ctx context.Context) (leader string, err error) {
+	replica := r.currentReplica()
+	if replica == nil {
+		return "", merry.Wrap(ErrNotJoined)
+	}
+	status := replica.Status()
+	switch {
+	case status.Role == raft.Leader:
+		return "", replica.ReadBarrier(ctx)
+	case status.LeaderAddress == "":
+		return "", merry.Wrap(ErrNoLeader)
+	}
+	return status.LeaderAddress, nil
 }
--- a/pkg/registry/registration.go
+++ b/pkg/registry/registration.go
@@ -35,12 +35,15 @@
 		return &RegistrationError{"address", r.GetAddress()}
 	case r.GetSlots() > maxSlots:
 		return &RegistrationError{"number of slots", strconv.FormatUint(uint64(r.GetSlots()), 10)}
-	case r.GetStartedUnixMs() <= 0 || r.GetStartedUnixMs() > maxStartedUnixMs:
+	case !IsValidStart(r.GetStartedUnixMs()):
 		return &RegistrationError{"start", strconv.FormatInt(r.GetStartedUnixMs(), 10)}
 	}
 	return CheckTargetID(r.GetId())
 }
 
+// IsValidStart reports whether a target can have been started at a time in Unix milliseconds.
+func IsValidStart(started int64) bool { return started > 0 && started <= maxStartedUnixMs }
+
 // CheckTargetID returns a *RegistrationError if an ID cannot be that of a target, or nil. Requests carry it in a header field, and the
 // messages between hosts can hold only UTF-8.
 func CheckTargetID(id string) error {
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -29,6 +29,8 @@
 	targets map[string]*schemav1.Registration
 	// evacuations is the set of evacuated data centres.
 	evacuations map[string]bool
+	// evacuationOrders has the number of the last order by data centre.
+	evacuationOrders map[string]uint64
 	// keyTables has the key ranges by service.
 	keyTables map[string]*schemav1.KeyTable
 	// entryHosts has the entry hosts by name, and hosts the registry hosts by name.
@@ -95,7 +97,8 @@
 // NewState returns the state of an empty registry.
 func NewState() *State {
 	return &State{
-		targets: map[string]*schemav1.Registration{}, evacuations: map[string]bool{}, keyTables: map[string]*schemav1.KeyTable{},
+		targets: map[string]*schemav1.Registration{}, evacuations: map[string]bool{}, evacuationOrders: map[string]uint64{},
+		keyTables:  map[string]*schemav1.KeyTable{},
 		entryHosts: map[string]*schemav1.EntryHost{}, hosts: map[string]*schemav1.RegistryHost{}, changed: make(chan struct{}),
 		changeVersions: changeVersions{ranges: map[string]map[uint32]uint64{}, entryHosts: map[string]uint64{}},
 	}
@@ -125,7 +128,7 @@
 	if s.onlyRaisesFence(command.GetRange()) {
 		// Entry hosts do not use fences, so their views need no update and the version stays the same.
 		result.Applied = s.setRange(command.GetRange())
-	} else if result.Applied = s.apply(command, next); result.Applied {
+	} else if result.Applied = s.apply(command, next, result); result.Applied {
 		s.version = next
 		close(s.changed)
 		s.changed = make(chan struct{})
@@ -133,7 +136,7 @@
 	result.Fence, result.Version = s.lastFence, s.version
 }
 
-func (s *State) apply(c *schemav1.RegistryCommand, version uint64) bool {
+func (s *State) apply(c *schemav1.RegistryCommand, version uint64, result *schemav1.RegistryResult) bool {
 	switch {
 	case c.GetRoutes() != nil:
 		return s.applyRoutes(c.GetRoutes(), version)
@@ -148,7 +151,7 @@
 	case c.GetForgetTarget() != nil:
 		return s.applyForgetTarget(c.GetForgetTarget(), version)
 	case c.GetEvacuation() != nil:
-		return s.applyEvacuation(c.GetEvacuation(), version)
+		return s.applyEvacuation(c.GetEvacuation(), version, result)
 	case c.GetKeys() != nil:
 		return s.applyKeyTable(c.GetKeys(), version)
 	case c.GetRange() != nil:
@@ -281,27 +284,41 @@
 	}
 }
 
-// applyForgetTarget marks a target as gone. A start time of 0 stands for the start that is registered.
+// applyForgetTarget marks a target as gone. A start time of 0 stands for the start that is registered. A start that is not registered yet is
+// recorded as gone too, because its announcement may still be on the way.
 func (s *State) applyForgetTarget(target *schemav1.Registration, version uint64) bool {
-	old, ok := s.targets[target.GetId()]
-	otherStart := target.GetStartedUnixMs() != 0 && old.GetStartedUnixMs() != target.GetStartedUnixMs()
-	if !ok || old.GetLife() == schemav1.Life_LIFE_GONE || otherStart {
+	old := s.targets[target.GetId()]
+	started := cmp.Or(target.GetStartedUnixMs(), old.GetStartedUnixMs())
+	ended := old.GetLife() == schemav1.Life_LIFE_GONE && started == old.GetStartedUnixMs()
+	if started == 0 || started < old.GetStartedUnixMs() || ended {
 		return false
 	}
-	gone := proto.Clone(old).(*schemav1.Registration)
-	gone.Life = schemav1.Life_LIFE_GONE
+	gone := &schemav1.Registration{Id: target.GetId()}
+	if old != nil {
+		gone = proto.Clone(old).(*schemav1.Registration)
+	}
+	gone.StartedUnixMs, gone.Life = started, schemav1.Life_LIFE_GONE
 	s.setTarget(gone, version)
 	return true
 }
 
-func (s *State) applyEvacuation(change *schemav1.EvacuationChange, version uint64) bool {
-	if s.evacuations[change.GetDataCentre()] == change.GetOut() {
+// applyEvacuation applies an order unless it contradicts one that was given after it was received. Each other order gets a number, also one
+// that changes nothing, so that none that was received before it can undo it later.
+func (s *State) applyEvacuation(change *schemav1.EvacuationChange, version uint64, result *schemav1.RegistryResult) bool {
+	dataCentre := change.GetDataCentre()
+	contradicts := s.evacuations[dataCentre] != change.GetOut()
+	if contradicts && change.ExpectedOrder != nil && change.GetExpectedOrder() != s.evacuationOrders[dataCentre] {
+		result.Overtaken = true
+		return false
+	}
+	s.evacuationOrders[dataCentre]++
+	if !contradicts {
 		return false
 	}
 	if change.GetOut() {
-		s.evacuations[change.GetDataCentre()] = true
+		s.evacuations[dataCentre] = true
 	} else {
-		delete(s.evacuations, change.GetDataCentre())
+		delete(s.evacuations, dataCentre)
 	}
 	s.changeVersions.evacuated = version
 	return true
@@ -399,6 +416,11 @@
 		Keys: sortedByName(s.keyTables), Targets: s.orderedTargets(), LastFence: s.lastFence, Version: s.version,
 		Suspects: s.suspects.ordered,
 	}
+	for _, dataCentre := range slices.Sorted(maps.Keys(s.evacuationOrders)) {
+		state.EvacuationOrders = append(state.EvacuationOrders, &schemav1.EvacuationOrder{
+			DataCentre: dataCentre, Number: s.evacuationOrders[dataCentre],
+		})
+	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	return encoded, merry.Wrap(err)
 }
@@ -415,6 +437,9 @@
 	for _, dataCentre := range state.GetEvacuated() {
 		fresh.evacuations[dataCentre] = true
 	}
+	for _, order := range state.GetEvacuationOrders() {
+		fresh.evacuationOrders[order.GetDataCentre()] = order.GetNumber()
+	}
 	for _, entry := range state.GetEntries() {
 		fresh.entryHosts[entry.GetName()] = entry
 	}
@@ -435,6 +460,7 @@
 	defer s.mu.Unlock()
 	s.version, s.lastFence, s.routes, s.targets, s.evacuations =
 		fresh.version, fresh.lastFence, fresh.routes, fresh.targets, fresh.evacuations
+	s.evacuationOrders = fresh.evacuationOrders
 	s.keyTables, s.entryHosts, s.hosts, s.endedTargets, s.changeVersions, s.suspects =
 		fresh.keyTables, fresh.entryHosts, fresh.hosts, fresh.endedTargets, fresh.changeVersions, fresh.suspects
 	close(s.changed)
@@ -527,6 +553,13 @@
 	return s.evacuations[dataCentre]
 }
 
+// EvacuationOrder returns the number of the last evacuation order for a data centre, or 0 if there was none.
+func (s *State) EvacuationOrder(dataCentre string) uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.evacuationOrders[dataCentre]
+}
+
 // Keys returns the key ranges of a service, or nil if it has none.
 func (s *State) Keys(service string) *schemav1.KeyTable {
 	s.mu.RLock()
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -89,6 +89,58 @@
 	})
 }
 
+var _ = Describe("Orders that arrive late", func() {
+	evacuate := func(s *State, out bool, expected uint64) *schemav1.RegistryResult {
+		return apply(s, &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{DataCentre: "d", Out: out, ExpectedOrder: &expected}})
+	}
+
+	// Guards against an evacuation that is withdrawn by an earlier order (EVAC, review/2 and review/3).
+	It("do not undo an evacuation that was ordered since they were received, also after a restart from a snapshot", func() {
+		s := NewState()
+		Expect(evacuate(s, true, 0).GetOvertaken()).To(BeFalse())
+		received := s.EvacuationOrder("d")
+		Expect(evacuate(s, false, received).GetOvertaken()).To(BeFalse())
+		Expect(evacuate(s, true, s.EvacuationOrder("d")).GetOvertaken()).To(BeFalse())
+		snapshot, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := NewState()
+		Expect(restored.Restore(snapshot)).To(Succeed())
+		for _, s := range []*State{s, restored} {
+			Expect(evacuate(s, false, received).GetOvertaken()).To(BeTrue())
+			Expect(s.IsEvacuated("d")).To(BeTrue())
+		}
+	})
+
+	It("do not undo an order that was acknowledged because it repeats what is in force", func() {
+		s := NewState()
+		evacuate(s, true, 0)
+		received := s.EvacuationOrder("d")
+		Expect(evacuate(s, true, received).GetOvertaken()).To(BeFalse())
+		Expect(evacuate(s, false, received).GetOvertaken()).To(BeTrue())
+	})
+
+	It("are acknowledged if they repeat what is in force, and do not concern other data centres", func() {
+		s := NewState()
+		evacuate(s, true, 0)
+		apply(s, &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{DataCentre: "e", Out: true}})
+		Expect(evacuate(s, true, 0).GetOvertaken()).To(BeFalse())
+		Expect(s.EvacuationOrder("e")).To(BeEquivalentTo(1))
+	})
+
+	// Guards against a target that serves on after its removal was acknowledged, because its first announcement arrives after that.
+	It("do not register a start of a target that was removed before it was known", func() {
+		s := NewState()
+		apply(s, &schemav1.RegistryCommand{Registration: registration("t", 5, schemav1.Life_LIFE_READY)})
+		apply(s, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: "t", StartedUnixMs: 6}})
+		apply(s, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: "u", StartedUnixMs: 6}})
+		apply(s, &schemav1.RegistryCommand{Registration: registration("t", 6, schemav1.Life_LIFE_READY)})
+		apply(s, &schemav1.RegistryCommand{Registration: registration("u", 6, schemav1.Life_LIFE_READY)})
+		Expect(s.Targets()).To(BeEmpty())
+		apply(s, &schemav1.RegistryCommand{Registration: registration("u", 7, schemav1.Life_LIFE_READY)})
+		Expect(s.Targets()).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("Updates of views", func() {
 	// Guards against updates whose size grows with the deployment: on thin links they delay the answers of callers.
 	It("have only the key ranges and entry hosts that changed (sbfa-fitting-large)", func() {
@@ -279,7 +331,9 @@
 	case 1:
 		return &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: name("t"), StartedUnixMs: rapid.Int64Range(0, 3).Draw(t, "started")}}
 	case 2:
-		return &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{DataCentre: name("dc"), Out: rapid.Bool().Draw(t, "out")}}
+		return &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{
+			DataCentre: name("dc"), Out: rapid.Bool().Draw(t, "out"), ExpectedOrder: proto.Uint64(rapid.Uint64Range(0, 9).Draw(t, "order")),
+		}}
 	case 3:
 		return &schemav1.RegistryCommand{EntryJoined: &schemav1.EntryHost{Name: name("e"), DataCentre: "d", LoadAddress: name("l")}}
 	case 4:
