registrar: orders that waited during a pause of the host are refused

Cause: a host took an order as new when it read it, whatever the time since it was sent. net/http reports the end of the caller's connection only while the proposal is under way.

It waits 50 ms for the end of the caller's connection before it proposes such an order.

Conclusion: the number of an order protects only from the time at which the order was read; what waited unread before that has to be refused.

--- a/pkg/registrar/errors.go
+++ b/pkg/registrar/errors.go
@@ -16,6 +16,10 @@
 	ErrNotJoined = merry.Sentinel("this host has not joined the registry yet")
 	// ErrUnknownTarget means that no target with this ID is registered.
 	ErrUnknownTarget = merry.Sentinel("the target is not registered")
+	// ErrPaused means that this host stood still until just now, so that an order may have waited here for longer than its caller.
+	ErrPaused = merry.Sentinel("this host stood still, so the order may be outdated")
+	// ErrCallerLeft means that the caller closed its connection before its order was proposed.
+	ErrCallerLeft = merry.Sentinel("the caller left before its order was carried out")
 	// ErrOvertaken means that what the order refers to has changed since the order was received.
 	ErrOvertaken = merry.Sentinel("a later order has been carried out")
 )
--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -2,30 +2,51 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
 // Evacuations, and removals that do not state a start, have no number by which an older one could be told from a newer one. They may arrive
 // late: held up by a partition between their caller and this host or between this host and the leader, or by a pause of a host. Their caller
-// has then turned to another host and may have given newer orders there, which a late one must not undo. So this host reads from the leader
-// what the order refers to, and proposes the order with it. The registry refuses the order if that has changed.
+// has then turned to another host and may have given newer orders there, which a late one must not undo. So this host refuses what may have
+// waited here, reads from the leader what the order refers to, and proposes the order with it. The registry refuses the order if that has
+// changed.
+
+const (
+	// callerTimeout is the time after which callers give up an order and turn to another host.
+	callerTimeout = time.Second
+	// closeDelay is how long the close of a caller's connection may arrive after an order that was held up on the way: a round trip with the
+	// caller and the time in which the server notices it.
+	closeDelay = 50 * time.Millisecond
+)
 
 // commitOrder commits an order without a number. command returns the command for what the registry held after the order was received, or nil
 // if it holds what is ordered.
 func (r *Registrar) commitOrder(
 	ctx context.Context, read *schemav1.CurrentRead, command func(*schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error),
 ) error {
-	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	if r.pauses.SinceLast() < callerTimeout {
+		return merry.Wrap(ErrPaused)
+	}
+	caller := ctx
+	ctx, cancel := context.WithTimeout(caller, proposalTimeout)
 	defer cancel()
 	current, err := retry(ctx, func(ctx context.Context) (*schemav1.CurrentReadAnswer, error) { return r.readCurrent(ctx, read) })
 	if err != nil {
 		return err
 	}
+	if !monotonic.Sleep(ctx, closeDelay) {
+		if caller.Err() != nil {
+			return merry.Wrap(ErrCallerLeft)
+		}
+		return merry.Wrap(ctx.Err())
+	}
 	order, err := command(current)
 	if err != nil || order == nil {
 		return err
@@ -67,8 +88,8 @@
 	return &schemav1.CurrentReadAnswer{EvacuationOrder: r.state.EvacuationOrder(read.GetDataCentre()), Target: target}
 }
 
-// SetEvacuated evacuates a data centre if evacuated is set; otherwise it puts it back into service. It fails with ErrOvertaken if
-// another order for the data centre has been carried out since it was received; it has no effect then.
+// SetEvacuated evacuates a data centre if evacuated is set; otherwise it puts it back into service. It fails with ErrPaused, ErrCallerLeft or
+// ErrOvertaken if the order may be older than others for the data centre; it has no effect then.
 func (r *Registrar) SetEvacuated(ctx context.Context, dataCentre string, evacuated bool) error {
 	number := uint64(0)
 	err := r.commitOrder(ctx, &schemav1.CurrentRead{DataCentre: dataCentre}, func(current *schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error) {
@@ -82,8 +103,8 @@
 }
 
 // RemoveTarget marks a target as gone. started is the start time of the target in Unix milliseconds, or 0 if it is not known; the target must
-// be registered then. It fails with ErrUnknownTarget if it is not, and with ErrOvertaken if the removal may be older than the start
-// that is registered.
+// be registered then. It fails with ErrUnknownTarget if it is not, and with ErrPaused, ErrCallerLeft or ErrOvertaken if the removal may be
+// older than the start that is registered.
 func (r *Registrar) RemoveTarget(ctx context.Context, id string, started int64) error {
 	return r.removeTarget(ctx, id, started, nil)
 }
--- a/pkg/registrar/orders_test.go
+++ b/pkg/registrar/orders_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"almondrock.example/almondrock/pkg/internal/pauses"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -105,6 +106,38 @@
 })
 
 var _ = Describe("Order", func() {
+	// Guards against an order that waited in the connection of a caller while this host stood still, and is carried out although its caller has
+	// given newer ones to other hosts since (EVAC, review/3).
+	It("is refused after a pause of the host for as long as it may have waited there", func() {
+		hosts := startGroup(&partition{})
+		Eventually(says, "10s").WithArguments(hosts[0]).Should(BeTrue())
+		now := time.Hour
+		pausing := hosts[0]
+		pausing.pauses = pauses.New(func() time.Duration { return now })
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		pausing.pauses.Run(ended)
+		evacuate := func() error { return pausing.SetEvacuated(context.Background(), "n", true) }
+		Expect(evacuate()).To(Succeed())
+		now += 4 * time.Second
+		Expect(evacuate()).To(MatchError(ErrPaused))
+		Expect(pausing.RemoveTarget(context.Background(), "t", 0)).To(MatchError(ErrPaused))
+		for range 12 {
+			now += 100 * time.Millisecond
+			pausing.pauses.SinceLast()
+		}
+		Expect(evacuate()).To(Succeed())
+	})
+
+	It("is not carried out once its caller has left", func() {
+		hosts := startGroup(&partition{})
+		Eventually(says, "10s").WithArguments(hosts[0]).Should(BeTrue())
+		ctx, cancel := context.WithTimeout(context.Background(), closeDelay/2)
+		defer cancel()
+		Expect(hosts[0].SetEvacuated(ctx, "n", true)).NotTo(Succeed())
+		Consistently(func() bool { return hosts[0].state.IsEvacuated("n") }, "300ms").Should(BeFalse())
+	})
+
 	It("that removes a target which is not registered is not acknowledged", func() {
 		hosts := startGroup(&partition{})
 		Eventually(says, "10s").WithArguments(hosts[3]).Should(BeTrue())
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -19,6 +19,7 @@
 
 	"almondrock.example/almondrock/pkg/grants"
 	"almondrock.example/almondrock/pkg/guard"
+	"almondrock.example/almondrock/pkg/internal/pauses"
 	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/metrics"
 	"almondrock.example/almondrock/pkg/raft"
@@ -95,6 +96,7 @@
 	announcements registry.AnnouncementOrder
 	fullViews     registry.FullViews
 	registrations registrations
+	pauses        *pauses.Detector
 	ctx           context.Context
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
@@ -127,6 +129,7 @@
 		options: options, state: registry.NewState(), log: log, fresh: member.IsEmpty(replication.PersistentState(state)),
 		client: rpc.NewClient(rpc.ClientOptions{BackoffMax: maxDialBackOff}), server: rpc.NewServer(rpc.ServerOptions{}),
 		started: time.Now(), failed: make(chan error, 1), metrics: metrics.New(options.Name, options.DataCentre),
+		pauses: pauses.New(pauses.BootClock),
 	}
 	initialID := uint64(0)
 	if options.Bootstrap && slices.Contains(options.Seeds, options.PeerAddress) {
@@ -179,6 +182,7 @@
 			klog.V(1).InfoS("RPC server stopped", "err", err)
 		}
 	})
+	r.tasks.Go(func() { r.pauses.Run(r.ctx) })
 	r.tasks.Go(func() {
 		// After a panic the state of the member is unknown, so the process ends and starts again from its log.
 		if err := guard.Run("registry member", r.run); err != nil {
