entry: no request is passed on that would be cut off at the end of a planned stop

Report of another operator: in a planned stop of one entry host, requests that came late in the grace period were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated (LOST).

Cause: a host that stops handled each request that it had read as usual, whatever the time left. A request that is complete only late, because its body or header arrives slowly or its connection pipelines, was sent to a target although its deadline lay beyond the end of the grace period, where all connections are closed.

Evidence: the spec "refuses a request that is complete only late in the grace period ..." got "unexpected EOF" before, with the request running at the target; it gets 503 with Retry-After now, and the target does not run it.

Change: from half of the grace period on, only requests are passed on whose deadline ends before the connections are closed. Others are refused with 503, code "stopping"; other hosts can take them at once.

Conclusion: in the first half nearly all requests end in time, and refusing those with long deadlines would cost callers a round trip for nothing.

--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -95,8 +95,10 @@
 	// loadChanged wakes the sender of load reports.
 	loadChanged chan struct{}
 	// targetLeaves wakes the reporter of targets that leave.
-	targetLeaves   chan struct{}
-	shuttingDown   atomic.Bool
+	targetLeaves chan struct{}
+	shuttingDown atomic.Bool
+	// stopPlan is set once the host has begun to stop.
+	stopPlan       atomic.Pointer[stopPlan]
 	keyLoads       keyLoads
 	suspects       *suspectTracker
 	requestMetrics *requestMetrics
@@ -204,6 +206,7 @@
 // requests finish, and closes the connections of callers after their responses.
 func (h *Host) Stop() {
 	began := time.Now()
+	h.stopPlan.Store(newStopPlan(h.now(), h.options.GracePeriod))
 	h.shuttingDown.Store(true)
 	h.callers.Drain()
 	klog.InfoS("stopping", "host", h.options.Name)
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -89,7 +89,7 @@
 	return timeout
 }
 
-// prepare checks the key and reads the body. If it refuses the request, it sends the response and returns the result for the
+// prepare checks the key, reads the body and checks that there is time for the request. If it refuses the request, it sends the response and returns the result for the
 // log; otherwise it returns "".
 func (x *exchange) prepare() string {
 	configuration := x.host.current().table.Configuration
@@ -119,6 +119,9 @@
 	if x.timeLeft() <= 0 {
 		return x.refuse(dispatch.ReasonLate, time.Duration(0))
 	}
+	if !x.host.stopPlan.Load().takes(x.host.now(), x.deadline) {
+		return x.refuse(reasonStopping, time.Duration(0))
+	}
 	return ""
 }
 
