entry: specs of endless answers in fourteen forms

Report of another operator: a faulty server sent bytes without end, in a head or a body; the machine that had called it kept them all and ran out of memory.

Looked at: heads are bounded at 64 KiB (pkg/internal/headlimit), skipped answers and error bodies at 1 MiB, buffered bodies at 1 MiB, chunk lines and trailers by the buffer of the parser; bodies that are streamed wait for the caller. Answers to calls about keys are bounded at 64 KiB (platform). It cannot happen here in the forms tried.

The specs let a target send each form without end to eight callers that do not read, and check that the host keeps less than twice its buffer for each.

--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -156,6 +157,59 @@
 		Expect(served.Load()).To(BeNumerically(">", requests/2))
 	})
 
+	// Guards against a host that keeps all that a target in trouble sends, runs out of memory and ends with the requests of all other callers
+	// (report of an operator).
+	DescribeTable("keeps little of an answer that never ends, whatever its form",
+		func(head, endless string) {
+			address := serveRaw(func(c net.Conn, id string) {
+				_, _ = fmt.Fprintf(c, head, id)
+				writeForever(c, endless)
+			})
+			h := startHostWith(2 * time.Second)
+			applyAddresses(h, []string{address})
+			var before, during runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			const callers = 8
+			var responses sync.WaitGroup
+			ctx, leave := context.WithCancel(context.Background())
+			for range callers {
+				responses.Go(func() {
+					// The caller does not read the body either, so that nothing but the host can keep what the target sends.
+					r, err := http.NewRequestWithContext(ctx, "POST", "http://"+h.options.CallerAddress+"/unsafe/", nil)
+					if err != nil {
+						return
+					}
+					r.Host, r.Header = "a", http.Header{"Id": {"1"}}
+					if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+						<-ctx.Done()
+						response.Body.Close()
+					}
+				})
+			}
+			time.Sleep(600 * time.Millisecond)
+			runtime.GC()
+			runtime.ReadMemStats(&during)
+			leave()
+			responses.Wait()
+			Expect(during.HeapAlloc).To(BeNumerically("<", before.HeapAlloc+2*callers*maxBufferedResponse))
+		},
+		Entry("no answer at all", "%.0s", "x"),
+		Entry("status line", "HTTP/1.1 200 OK%.0s", "x"),
+		Entry("field name", "HTTP/1.1 200 OK\r\nId: %s\r\n", "x"),
+		Entry("folded field", "HTTP/1.1 200 OK\r\nId: %s\r\nA: b\r\n", " c\r\n"),
+		Entry("interim responses with fields", "%.0s", "HTTP/1.1 102 Processing\r\nA: b\r\n\r\n"),
+		Entry("body without a length", "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\n\r\n", "x"),
+		Entry("body of a great length", "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nContent-Length: 900000000000\r\n\r\n", "x"),
+		Entry("chunks of one byte", "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+		Entry("a chunk without end", "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffff\r\n", "x"),
+		Entry("a chunk size", "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+		Entry("a chunk extension", "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a"),
+		Entry("trailers", "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
+		Entry("an answer to another request", "HTTP/1.1 200 OK\r\nId: %s-other\r\nProof: p\r\nContent-Length: 900000\r\n\r\n", "x"),
+		Entry("an error", "HTTP/1.1 500 Error\r\nId: %s\r\n\r\n", "x"),
+	)
+
 	It("ends an endless body that is streamed when the caller leaves, and at the deadline of the request", func() {
 		var ended atomic.Int64
 		address := serveRaw(func(c net.Conn, id string) {
