registry: a removal without a start also holds for a start that was not announced yet

Cause: a removal names the ID only. The server had started again, its first announcement was held up, and its removal was applied to the earlier start, the only one known. The late announcement then registered the start that had left.

The new spec of pkg/registry fails without mayBeRemoved.

Change: a removal without a start records its time of day. For 5 s after it a later start is registered only if it was started after the removal. A clock that is wrong costs a server that starts again in that time at most these 5 s.

Conclusion: an order names what its sender knows, which may be more than the registry knows.

--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -26,8 +26,7 @@
 	closeDelay = 50 * time.Millisecond
 )
 
-// commitOrder commits an order without a number. command returns the command for what the registry held after the order was received, or nil
-// if it holds what is ordered.
+// commitOrder commits an order without a number. command returns the command for what the registry held after the order was received.
 func (r *Registrar) commitOrder(
 	ctx context.Context, read *schemav1.CurrentRead, command func(*schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error),
 ) error {
@@ -48,7 +47,7 @@
 		return merry.Wrap(ctx.Err())
 	}
 	order, err := command(current)
-	if err != nil || order == nil {
+	if err != nil {
 		return err
 	}
 	result, err := r.proposeWithRetry(ctx, order)
@@ -111,26 +110,24 @@
 
 // removeTarget marks a target as gone. knownStart is the start that the entry host knew which passes on a removal without a start.
 func (r *Registrar) removeTarget(ctx context.Context, id string, started int64, knownStart *int64) error {
-	removal := func(started int64) *schemav1.RegistryCommand {
-		return &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: id, StartedUnixMs: started}}
-	}
+	removal := &schemav1.Registration{Id: id, StartedUnixMs: started}
 	var err error
 	if started != 0 {
-		_, err = r.proposeWithRetry(ctx, removal(started))
+		_, err = r.proposeWithRetry(ctx, &schemav1.RegistryCommand{ForgetTarget: removal})
 	} else {
+		removal.RemovedUnixMs = time.Now().UnixMilli()
 		err = r.commitOrder(ctx, &schemav1.CurrentRead{Target: id}, func(current *schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error) {
-			started = current.GetTarget().GetStartedUnixMs()
+			known := current.GetTarget()
 			switch {
-			case started == 0:
+			case known == nil:
 				return nil, merry.Wrap(ErrUnknownTarget)
-			case current.GetTarget().GetLife() == schemav1.Life_LIFE_GONE:
-				return nil, nil
-			case knownStart != nil && *knownStart != started:
+			case knownStart != nil && known.GetLife() != schemav1.Life_LIFE_GONE && *knownStart != known.GetStartedUnixMs():
 				return nil, merry.Wrap(ErrOvertaken)
 			}
-			return removal(started), nil
+			removal.StartedUnixMs = known.GetStartedUnixMs()
+			return &schemav1.RegistryCommand{ForgetTarget: removal}, nil
 		})
 	}
-	klog.InfoS("target left", "target", id, "started", started, "err", err)
+	klog.InfoS("target left", "target", id, "started", removal.GetStartedUnixMs(), "stated", started != 0, "err", err)
 	return err
 }
--- a/pkg/registrar/registrations.go
+++ b/pkg/registrar/registrations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -72,10 +73,13 @@
 
 // command returns the command that commits the batch. A single registration has its own field, which earlier versions know too.
 func (b *registrationBatch) command() *schemav1.RegistryCommand {
+	command := &schemav1.RegistryCommand{ProposedUnixMs: time.Now().UnixMilli()}
 	if len(b.targets) == 1 {
-		return &schemav1.RegistryCommand{Registration: b.targets[0]}
+		command.Registration = b.targets[0]
+	} else {
+		command.Registrations = b.targets
 	}
-	return &schemav1.RegistryCommand{Registrations: b.targets}
+	return command
 }
 
 // take removes and returns the next batch, or nil if there is none.
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
@@ -141,11 +142,11 @@
 	case c.GetRoutes() != nil:
 		return s.applyRoutes(c.GetRoutes(), version)
 	case c.GetRegistration() != nil:
-		return s.applyRegistration(c.GetRegistration(), version)
+		return s.applyRegistration(c.GetRegistration(), version, c.GetProposedUnixMs())
 	case len(c.GetRegistrations()) > 0:
 		applied := false
 		for _, next := range c.GetRegistrations() {
-			applied = s.applyRegistration(next, version) || applied
+			applied = s.applyRegistration(next, version, c.GetProposedUnixMs()) || applied
 		}
 		return applied
 	case c.GetForgetTarget() != nil:
@@ -239,8 +240,19 @@
 	}
 }
 
-func (s *State) applyRegistration(next *schemav1.Registration, version uint64) bool {
-	if !Supersedes(s.targets[next.GetId()], next) {
+// lateAnnouncementTime is how late an announcement may arrive whose process has been removed since.
+const lateAnnouncementTime = 5 * time.Second
+
+// mayBeRemoved reports whether next may be a late announcement of the process that a removal without a start meant. A process that was
+// started after the removal, and one that still announces itself later, are others.
+func mayBeRemoved(old, next *schemav1.Registration, proposedUnixMs int64) bool {
+	removedAt := old.GetRemovedUnixMs()
+	return removedAt > 0 && next.GetStartedUnixMs() <= removedAt && proposedUnixMs > 0 && proposedUnixMs < removedAt+lateAnnouncementTime.Milliseconds()
+}
+
+func (s *State) applyRegistration(next *schemav1.Registration, version uint64, proposedUnixMs int64) bool {
+	old := s.targets[next.GetId()]
+	if !Supersedes(old, next) || mayBeRemoved(old, next, proposedUnixMs) {
 		return false
 	}
 	if next.GetLife() != schemav1.Life_LIFE_GONE && !s.claimAddress(next, version) {
@@ -289,7 +301,7 @@
 func (s *State) applyForgetTarget(target *schemav1.Registration, version uint64) bool {
 	old := s.targets[target.GetId()]
 	started := cmp.Or(target.GetStartedUnixMs(), old.GetStartedUnixMs())
-	ended := old.GetLife() == schemav1.Life_LIFE_GONE && started == old.GetStartedUnixMs()
+	ended := old.GetLife() == schemav1.Life_LIFE_GONE && started == old.GetStartedUnixMs() && target.GetRemovedUnixMs() <= old.GetRemovedUnixMs()
 	if started == 0 || started < old.GetStartedUnixMs() || ended {
 		return false
 	}
@@ -297,7 +309,7 @@
 	if old != nil {
 		gone = proto.Clone(old).(*schemav1.Registration)
 	}
-	gone.StartedUnixMs, gone.Life = started, schemav1.Life_LIFE_GONE
+	gone.StartedUnixMs, gone.Life, gone.RemovedUnixMs = started, schemav1.Life_LIFE_GONE, target.GetRemovedUnixMs()
 	s.setTarget(gone, version)
 	return true
 }
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -139,6 +139,27 @@
 		apply(s, &schemav1.RegistryCommand{Registration: registration("u", 7, schemav1.Life_LIFE_READY)})
 		Expect(s.Targets()).To(HaveLen(1))
 	})
+
+	// Guards against a target that was started again, left by a removal without a start before its first announcement arrived, and gets requests
+	// after that (DRAIN, soak seed 103).
+	It("do not register for some time a start that a removal without a start may have meant", func() {
+		const removedAt = 1_000_000
+		s := NewState()
+		apply(s, &schemav1.RegistryCommand{Registration: registration("t", removedAt-9000, schemav1.Life_LIFE_READY)})
+		apply(s, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: "t", RemovedUnixMs: removedAt}})
+		announce := func(started, proposed int64) int {
+			apply(s, &schemav1.RegistryCommand{Registration: registration("t", started, schemav1.Life_LIFE_READY), ProposedUnixMs: proposed})
+			return len(s.Targets())
+		}
+		Expect(announce(removedAt-2000, removedAt+1500)).To(BeZero(), "a late announcement of the process that was removed")
+		snapshot, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Restore(snapshot)).To(Succeed())
+		Expect(announce(removedAt-2000, removedAt+2500)).To(BeZero())
+		Expect(announce(removedAt-2000, removedAt+lateAnnouncementTime.Milliseconds())).To(Equal(1), "a process that is still there")
+		apply(s, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: "t", RemovedUnixMs: removedAt + 9000}})
+		Expect(announce(removedAt+9500, removedAt+9800)).To(Equal(1), "a process that was started after the removal")
+	})
 })
 
 var _ = Describe("End of an evacuation", func() {
