registrar: targets that are expected to be cold count as warm after the cold period of their service

Change: the registration tells that cold is only expected. The leader ends that after the cold period of the service and a second, in which the target must have become warm. An announcement since then counts more.

Conclusion: an assumption about a target needs an end of its own.

--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -27,6 +27,7 @@
 	membershipChangedAt time.Time
 	membershipChanges   sync.WaitGroup
 	suspectAges         suspectAges
+	expectedCold        expectedCold
 }
 
 // step makes the decisions that are due if this host is the leader. It ends earlier work if this host no longer is the leader or the term
@@ -42,7 +43,7 @@
 	if l.manager == nil {
 		l.term = status.Term
 		l.ctx, l.cancel = context.WithCancel(r.ctx)
-		l.suspectAges = suspectAges{}
+		l.suspectAges, l.expectedCold = suspectAges{}, expectedCold{}
 		l.manager = grants.New(r.state, r, r.options.Granter, func() time.Duration { return time.Since(r.started) })
 	}
 	l.changeMembership(status)
@@ -58,6 +59,7 @@
 		}
 	}
 	if configuration := r.Configuration(); configuration != nil {
+		r.endExpectedCold(&l.expectedCold, configuration.Services)
 		l.manager.Step(l.ctx, configuration.Services)
 	}
 }
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -108,6 +108,8 @@
 	failed  chan error
 	// recordingSelf is set while this host records its own addresses in the registry.
 	recordingSelf atomic.Bool
+	// endingExpectedCold is set while this host records targets as warm that were expected to be cold.
+	endingExpectedCold atomic.Bool
 	// rejoining is set while this host asks to join the group again.
 	rejoining atomic.Bool
 	// wasUpToDate is whether this host was up to date in the last pass of the main loop.
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -149,6 +149,8 @@
 			applied = s.applyRegistration(next, version, c.GetProposedUnixMs()) || applied
 		}
 		return applied
+	case len(c.GetExpectedColdOver()) > 0:
+		return s.applyExpectedColdOver(c.GetExpectedColdOver(), version)
 	case c.GetForgetTarget() != nil:
 		return s.applyForgetTarget(c.GetForgetTarget(), version)
 	case c.GetEvacuation() != nil:
@@ -337,21 +339,38 @@
 	return true
 }
 
-// expectCold marks the targets of a data centre that is put back into service as cold until they announce that they are warm. They may have
+// expectCold marks the targets of a data centre that is put back into service as cold until they announce what they are. They may have
 // become cold meanwhile, and the announcements that would say so may not get through. As targets without recent requests they would
 // otherwise be the first choice of all entry hosts.
 func (s *State) expectCold(dataCentre string, version uint64) {
 	for id, target := range s.targets {
-		if target.GetDataCentre() != dataCentre || target.GetLife() != schemav1.Life_LIFE_READY || target.GetCold() {
-			continue
+		if target.GetDataCentre() == dataCentre && target.GetLife() == schemav1.Life_LIFE_READY && !target.GetCold() {
+			s.setCold(id, true, version)
 		}
-		cold := proto.Clone(target).(*schemav1.Registration)
-		cold.Cold = true
-		s.targets[id] = cold
-		s.changeVersions.add(id, version)
 	}
 }
 
+// applyExpectedColdOver marks targets as warm that have not announced anything since cold was expected of them.
+func (s *State) applyExpectedColdOver(targets []*schemav1.Registration, version uint64) bool {
+	applied := false
+	for _, target := range targets {
+		known := s.targets[target.GetId()]
+		if known.GetColdExpected() && known.GetStartedUnixMs() == target.GetStartedUnixMs() {
+			s.setCold(target.GetId(), false, version)
+			applied = true
+		}
+	}
+	return applied
+}
+
+// setCold records whether a target is expected to be cold.
+func (s *State) setCold(id string, expected bool, version uint64) {
+	changed := proto.Clone(s.targets[id]).(*schemav1.Registration)
+	changed.Cold, changed.ColdExpected = expected, expected
+	s.targets[id] = changed
+	s.changeVersions.add(id, version)
+}
+
 // applyKeyTable sets the initial key table of a service. Later changes replace or split single ranges.
 func (s *State) applyKeyTable(table *schemav1.KeyTable, version uint64) bool {
 	if s.keyTables[table.GetService()] != nil {
@@ -567,6 +586,19 @@
 	return live
 }
 
+// ExpectedCold returns the registrations of the targets that are only expected to be cold, in no order.
+func (s *State) ExpectedCold() []*schemav1.Registration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var expected []*schemav1.Registration
+	for _, target := range s.targets {
+		if target.GetColdExpected() && target.GetLife() == schemav1.Life_LIFE_READY {
+			expected = append(expected, target)
+		}
+	}
+	return expected
+}
+
 // EntryHost returns the entry host with the given name, or nil.
 func (s *State) EntryHost(name string) *schemav1.EntryHost {
 	s.mu.RLock()
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -43,6 +43,7 @@
 		{Evacuation: &schemav1.EvacuationChange{DataCentre: "d", Out: true}},
 		{EntryJoined: &schemav1.EntryHost{}},
 		{RegistryHost: &schemav1.RegistryHost{}},
+		{ExpectedColdOver: []*schemav1.Registration{nil, {Id: "t"}, {Id: "t", StartedUnixMs: 1}}},
 		{EntryLeft: "e"},
 		{Suspects: &schemav1.SuspectChange{
 			Crashed: []*schemav1.Suspect{{Fingerprint: []byte("f"), Crashes: []uint64{1, 2, 3, 4}}, {}, nil}, Cleared: [][]byte{nil, []byte("g")},
@@ -200,6 +201,32 @@
 		Expect(isCold("unheard")).To(BeTrue())
 		Expect(isCold("draining") || isCold("elsewhere")).To(BeFalse())
 	})
+
+	// Guards against a sound target that cannot be heard and gets no requests of other data centres, for good.
+	It("lets targets count as warm again when they must have become warm, unless they announced something since", func() {
+		s := NewState()
+		for _, id := range []string{"unheard", "cold", "restarted"} {
+			target := registration(id, 1, schemav1.Life_LIFE_READY)
+			target.Address, target.DataCentre = id, "d"
+			apply(s, &schemav1.RegistryCommand{Registration: target})
+		}
+		apply(s, &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{DataCentre: "d", Out: true}})
+		apply(s, &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{DataCentre: "d"}})
+		for started, id := range []string{"cold", "restarted"} {
+			cold := registration(id, int64(started+1), schemav1.Life_LIFE_READY)
+			cold.Address, cold.DataCentre, cold.Cold = id, "d", true
+			apply(s, &schemav1.RegistryCommand{Registration: cold})
+		}
+		over := &schemav1.RegistryCommand{}
+		for _, id := range []string{"unheard", "cold", "restarted", "unknown"} {
+			over.ExpectedColdOver = append(over.ExpectedColdOver, &schemav1.Registration{Id: id, StartedUnixMs: 1})
+		}
+		Expect(apply(s, over).GetApplied()).To(BeTrue())
+		for _, target := range s.Targets() {
+			Expect(target.GetCold()).To(Equal(target.GetId() != "unheard"), target.GetId())
+		}
+		Expect(apply(s, over).GetApplied()).To(BeFalse())
+	})
 })
 
 var _ = Describe("Updates of views", func() {
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -68,6 +68,8 @@
 	Name string
 	// ColdRate is the rate of requests that a cold target (one that is still warming up) tolerates, in requests per second.
 	ColdRate float64
+	// ColdPeriod is how long a target stays cold.
+	ColdPeriod time.Duration
 	// Exclusive is set for a service in which each key is owned by exactly one target.
 	Exclusive bool
 }
