--- a/pkg/member/storage.go
+++ b/pkg/member/storage.go
@@ -65,16 +65,26 @@
 
 // Open opens the log at path. While the disk is full, it waits for room until ctx ends.
 func Open(ctx context.Context, path string, options wal.Options) (*wal.Log, error) {
+	return awaitRoom(ctx, func() (*wal.Log, error) { return wal.Open(path, options) })
+}
+
+// Identity returns the identity of the host; see wal.Log.IdentityWithDefault. While the disk is full, it waits for room until ctx ends.
+func Identity(ctx context.Context, log *wal.Log, initial uint64) (uint64, error) {
+	return awaitRoom(ctx, func() (uint64, error) { return log.IdentityWithDefault(initial) })
+}
+
+// awaitRoom repeats a step of the start of a member until it does not fail because the disk is full.
+func awaitRoom[T any](ctx context.Context, step func() (T, error)) (T, error) {
 	for refused := 0; ; refused++ {
-		log, err := wal.Open(path, options)
+		result, err := step()
 		if !IsNoSpace(err) {
-			return log, err
+			return result, err
 		}
 		if refused == 0 {
 			klog.ErrorS(err, "disk is full; this member starts when there is room")
 		}
 		if !monotonic.Sleep(ctx, noSpaceRetryInterval) {
-			return nil, err
+			return result, err
 		}
 	}
 }
--- a/pkg/member/storage_test.go
+++ b/pkg/member/storage_test.go
@@ -87,6 +87,24 @@
 		Expect(storage.Close()).To(Succeed())
 	})
 
+	// Guards against a host that ends by itself because the disk became full between the steps of its first start.
+	It("waits with the identity of a member while the disk is full", func() {
+		log, err := Open(context.Background(), "", wal.Options{FS: fs})
+		Expect(err).NotTo(HaveOccurred())
+		fs.full.Store(true)
+		identities := make(chan uint64, 1)
+		go func() {
+			defer GinkgoRecover()
+			identity, err := Identity(context.Background(), log, 7)
+			Expect(err).NotTo(HaveOccurred())
+			identities <- identity
+		}()
+		Consistently(identities, "250ms").ShouldNot(Receive())
+		fs.full.Store(false)
+		Eventually(identities).Should(Receive(BeEquivalentTo(7)))
+		Expect(log.Close()).To(Succeed())
+	})
+
 	It("waits with the start of a member while the disk is full", func() {
 		fs.full.Store(true)
 		opened := make(chan error, 1)
--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -16,6 +16,7 @@
 	"almondrock.example/almondrock/pkg/routes"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/wal"
 )
 
 // maxStaleClaim is how long a registry host that is cut off may still say that it is up to date. Of the 2 s in which a change must be in
@@ -53,7 +54,10 @@
 }
 
 // startGroup starts three voters and a learner, which is the last one.
-func startGroup(p *partition) []*Registrar {
+func startGroup(p *partition) []*Registrar { return startGroupOn(p, nil) }
+
+// startGroupOn is like startGroup, with the file systems of the hosts unless there are none.
+func startGroupOn(p *partition, fileSystems []wal.FS) []*Registrar {
 	GinkgoHelper()
 	var addresses []string
 	for range 4 {
@@ -64,8 +68,13 @@
 	}
 	var hosts []*Registrar
 	for i, address := range addresses {
+		var fileSystem wal.FS
+		if len(fileSystems) > 0 {
+			fileSystem = fileSystems[i]
+		}
 		r, err := New(context.Background(), Options{
-			Name: fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
+			fileSystem: fileSystem,
+			Name:       fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
 			DataDir: GinkgoT().TempDir(),
 			Decode: func(d *schemav1.RouteDocument) (*routes.Configuration, error) {
 				c := &routes.Configuration{Revision: d.GetRevision(), Services: map[string]routes.Service{"desk": {Name: "desk"}}}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -79,6 +79,8 @@
 	Decode func(*schemav1.RouteDocument) (*routes.Configuration, error)
 	// Granter makes the calls to targets about keys while this host is the leader.
 	Granter grants.Granter
+	// fileSystem replaces DataDir in tests.
+	fileSystem wal.FS
 }
 
 // Registrar is a registry host.
@@ -119,7 +121,7 @@
 // New opens the data directory and determines the identity of this host. Start must be called for it to serve. While the disk is full,
 // New waits for room until ctx ends.
 func New(ctx context.Context, options Options) (*Registrar, error) {
-	log, err := member.Open(ctx, filepath.Join(options.DataDir, "registry"), wal.Options{})
+	log, err := member.Open(ctx, filepath.Join(options.DataDir, "registry"), wal.Options{FS: options.fileSystem})
 	if err != nil {
 		return nil, err
 	}
@@ -137,7 +139,7 @@
 	if options.Bootstrap && slices.Contains(options.Seeds, options.PeerAddress) {
 		initialID = bootstrapID(options.PeerAddress)
 	}
-	if r.id, err = log.IdentityWithDefault(initialID); err != nil {
+	if r.id, err = member.Identity(ctx, log, initialID); err != nil {
 		return nil, err
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
