grants: a range that is to move stays with its owner when there is no other candidate

Callers saw: keys without an owner, for as long as the target that should give them up was the only candidate (found by review, by reading).

Cause: a range in the state RELEASING is neither renewed nor assigned while no other target can take it, and only a move ends that state.

Evidence: the spec "leaves a range with its owner ..." failed before (the state stayed RELEASING, and no grant was valid).

Change: such a range gets a higher fence and is granted to its owner again.

Conclusion: a state that waits for something has to end also when that can no longer come.

--- a/pkg/grants/manager.go
+++ b/pkg/grants/manager.go
@@ -262,6 +262,10 @@
 		return m.assign(ctx, service, r, table, candidates, "", "owner missing")
 	case restarted:
 		return m.reassignRestarted(ctx, service, r, record, table, candidates, owner)
+	case r.GetState() == schemav1.RangeState_RANGE_STATE_RELEASING && current && isCandidate(candidates, r.GetOwner()) &&
+		Owner(table.GetRanges(), candidates, r.GetOwner(), nil) == nil:
+		// All targets to which the keys could have moved are gone.
+		return m.changeRange(ctx, service, r, record, r.GetOwnerStartedUnixMs(), schemav1.RangeState_RANGE_STATE_GRANTING, "no other candidate")
 	case r.GetState() == schemav1.RangeState_RANGE_STATE_RELEASING, current && !isCandidate(candidates, r.GetOwner()):
 		return m.release(ctx, service, r, record, table, candidates, owner)
 	case !current:
--- a/pkg/grants/manager_test.go
+++ b/pkg/grants/manager_test.go
@@ -362,6 +362,22 @@
 		}),
 	)
 
+	// Guards against keys without an owner for as long as the target that should give them up is the only one (found by review).
+	It("leaves a range with its owner that was to move when there is no other candidate any more", func() {
+		targets := owners(2)
+		h := newHarness(targets)
+		h.run(5 * time.Second)
+		h.mustApply(&schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: "t1"}})
+		h.run(2 * maxGrantAge)
+		moving := proto.Clone(h.state.Keys("files").GetRanges()[0]).(*schemav1.KeyRange)
+		moving.State = schemav1.RangeState_RANGE_STATE_RELEASING
+		h.mustApply(&schemav1.RegistryCommand{Range: &schemav1.RangeChange{Service: "files", ExpectedFence: moving.GetFence(), Range: moving}})
+		h.run(2 * maxGrantAge)
+		first := h.state.Keys("files").GetRanges()[0]
+		Expect(first.GetState()).To(Equal(schemav1.RangeState_RANGE_STATE_ACTIVE))
+		Expect(h.heldUntil["t0"][first.GetFirst()]).To(BeNumerically(">", h.now))
+	})
+
 	It("serves the keys of a restarted owner again within two calls if no call is without a response", func() {
 		targets := owners(3)
 		h := newHarness(targets)
