registrar: a late announcement does not make a target count as warm that is expected to be cold

Change: before an announcement clears it, the host checks that it did not stand still and that the sender is still there.

Evidence: the spec "does not take a late announcement for a sign ..." fails without the check (the registration is committed although its sender has left).

--- a/pkg/registrar/cold_test.go
+++ b/pkg/registrar/cold_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -37,3 +38,32 @@
 		Expect(e.over(time.Minute+5*time.Second, targets, services)).To(BeEmpty())
 	})
 })
+
+var _ = It("does not take a late announcement for a sign that a target which is expected to be cold is warm", func() {
+	// Guards against cold targets that are flooded because an announcement of before they were cold arrives after the end of an evacuation.
+	hosts := startGroup(&partition{})
+	document := &schemav1.RouteDocument{Revision: 1, Body: []byte("{}")}
+	Eventually(func() error { return hosts[0].SubmitConfiguration(context.Background(), document) }, "10s").Should(Succeed())
+	sequence := uint64(0)
+	announce := func(ctx context.Context) error {
+		sequence++
+		_, err := hosts[0].Announce(ctx, &schemav1.Registration{
+			Id: "t", Service: "desk", Address: "10.0.0.1:1", DataCentre: "n", StartedUnixMs: 1, Life: schemav1.Life_LIFE_READY,
+		}, sequence)
+		return err
+	}
+	Eventually(announce, "10s").WithArguments(context.Background()).Should(Succeed())
+	isCold := func() bool {
+		target, _ := hosts[0].state.Target("t")
+		return target.GetCold()
+	}
+	Expect(hosts[0].SetEvacuated(context.Background(), "n", true)).To(Succeed())
+	Expect(hosts[0].SetEvacuated(context.Background(), "n", false)).To(Succeed())
+	Eventually(isCold).Should(BeTrue())
+	leaving, cancel := context.WithTimeout(context.Background(), closeDelay/2)
+	defer cancel()
+	Expect(announce(leaving)).To(MatchError(ErrCallerLeft))
+	Consistently(isCold, "200ms").Should(BeTrue())
+	Expect(announce(context.Background())).To(Succeed())
+	Eventually(isCold).Should(BeFalse())
+})
--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -77,7 +77,7 @@
 			Name:       fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
 			DataDir: GinkgoT().TempDir(),
 			Decode: func(d *schemav1.RouteDocument) (*routes.Configuration, error) {
-				c := &routes.Configuration{Revision: d.GetRevision(), Services: map[string]routes.Service{"desk": {Name: "desk"}}}
+				c := &routes.Configuration{Revision: d.GetRevision(), Services: map[string]routes.Service{"desk": {Name: "desk", ColdPeriod: time.Minute}}}
 				if c.Revision > 1 {
 					c.Services["added"] = routes.Service{Name: "added"}
 				}
--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -30,8 +30,8 @@
 func (r *Registrar) commitOrder(
 	ctx context.Context, read *schemav1.CurrentRead, command func(*schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error),
 ) error {
-	if r.pauses.SinceLast() < callerTimeout {
-		return merry.Wrap(ErrPaused)
+	if err := r.checkNotPaused(); err != nil {
+		return err
 	}
 	caller := ctx
 	ctx, cancel := context.WithTimeout(caller, proposalTimeout)
@@ -57,6 +57,26 @@
 	return err
 }
 
+// checkNotPaused returns ErrPaused while what this host reads may have waited here for longer than callers wait for an answer.
+func (r *Registrar) checkNotPaused() error {
+	if r.pauses.SinceLast() < callerTimeout {
+		return merry.Wrap(ErrPaused)
+	}
+	return nil
+}
+
+// checkWarm returns an error if the announcement of a target that is expected to be cold may be a late one, from before the target became
+// cold.
+func (r *Registrar) checkWarm(ctx context.Context) error {
+	if err := r.checkNotPaused(); err != nil {
+		return err
+	}
+	if !monotonic.Sleep(ctx, closeDelay) {
+		return merry.Wrap(ErrCallerLeft)
+	}
+	return nil
+}
+
 // readCurrent reads from the leader what the registry holds now.
 func (r *Registrar) readCurrent(ctx context.Context, read *schemav1.CurrentRead) (*schemav1.CurrentReadAnswer, error) {
 	leader, err := r.readBarrier(ctx)
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -375,7 +375,12 @@
 	}
 	known, _ := r.state.Target(target.GetId())
 	if r.announcements.NeedsCommit(known, target, sequence, r.isUpToDate()) {
-		err := r.registrations.commit(ctx, target)
+		if known.GetColdExpected() && !target.GetCold() {
+			err = r.checkWarm(ctx)
+		}
+		if err == nil {
+			err = r.registrations.commit(ctx, target)
+		}
 		klog.InfoS("announcement committed", "target", target.GetId(), "service", target.GetService(), "address", target.GetAddress(),
 			"started", target.GetStartedUnixMs(), "life", target.GetLife(), "cold", target.GetCold(), "sequence", sequence, "err", err)
 		if err != nil {
