pauses: what waited for less than 0.7 s is not refused

Cause: on a machine with hundreds of processes a registry host may get no processor for 0.3 s again and again, and would then refuse evacuations all the time. An order that waited for less than a second is read before its caller has turned to another host, and the number that it is read with protects all newer ones.

Evidence: by reasoning; the specs pass as before.

--- a/pkg/internal/pauses/pauses.go
+++ b/pkg/internal/pauses/pauses.go
@@ -16,8 +16,9 @@
 const (
 	// interval is the time between two observations.
 	interval = 100 * time.Millisecond
-	// minPause is the time between two observations from which on it counts as a pause. A busy machine runs a process several times in it.
-	minPause = 300 * time.Millisecond
+	// minPause is the time between two observations from which on it counts as a pause. What waited for less is read before its sender, which
+	// waits for a second, has turned to another host.
+	minPause = 700 * time.Millisecond
 )
 
 // Detector detects pauses of the process: it was stopped, its machine was suspended, or it got no processor. It is safe for concurrent use.
