--- a/pkg/grants/manager_test.go
+++ b/pkg/grants/manager_test.go
@@ -42,6 +42,8 @@
 	highestFence map[string]uint64
 	// released is the number of releases.
 	released int
+	// handedOver is the number of grants with the handover of an earlier owner.
+	handedOver int
 	manager  *Manager
 }
 
@@ -152,6 +154,9 @@
 		return &upstream.Error{Stage: upstream.Sent, Cause: context.DeadlineExceeded}
 	}
 	h.recordGrant(g.Target, g.First, heldUntil)
+	if g.Handover != "" {
+		h.handedOver++
+	}
 	if h.unresponsive[g.Target] {
 		return &upstream.Error{Stage: upstream.Sent, Cause: context.DeadlineExceeded}
 	}
@@ -394,6 +399,7 @@
 			Expect(r.GetOwner()).NotTo(Equal("t0"), "a cold target gets no keys while there are others")
 			Expect(h.heldUntil[r.GetOwner()][r.GetFirst()]).To(BeNumerically(">", h.now))
 		}
+		Expect(h.handedOver).To(BeZero(), "the new process may never have held the keys")
 	})
 
 	It("raises the fences of all keys after a change of leader, because it does not know which processes the previous leader called", func() {
