--- a/pkg/grants/manager_test.go
+++ b/pkg/grants/manager_test.go
@@ -44,7 +44,7 @@
 	released int
 	// handedOver is the number of grants with the handover of an earlier owner.
 	handedOver int
-	manager  *Manager
+	manager    *Manager
 }
 
 // grantDelay is the time after which delayed targets apply a grant.
