registrar: the time of day is read in one place, and a clock that was set back delays no registration

A clock set back by hours would have kept a restarted target out for hours, if all its announcements went to that host.

--- a/pkg/internal/monotonic/wallclock_test.go
+++ b/pkg/internal/monotonic/wallclock_test.go
@@ -16,6 +16,7 @@
 	"pkg/cli/ctl/submit.go":         "time of a submission, shown to operators",
 	"pkg/host/admin.go":             "time of a submission, shown to operators",
 	"pkg/host/host.go":              "start of a host, shown to operators and compared for equality only",
+	"pkg/registrar/timeofday.go":    "compared with starts of targets, which are times of day; a wrong clock delays a registration by 5 s at most",
 	"pkg/proxy/idempotency.go":      "identity of a record; its age is an open fault, see recordexpiry.go",
 	"pkg/ownership/recordexpiry.go": "open fault: records expire by the time of day",
 }
--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -135,7 +135,7 @@
 	if started != 0 {
 		_, err = r.proposeWithRetry(ctx, &schemav1.RegistryCommand{ForgetTarget: removal})
 	} else {
-		removal.RemovedUnixMs = time.Now().UnixMilli()
+		removal.RemovedUnixMs = timeOfDay()
 		err = r.commitOrder(ctx, &schemav1.CurrentRead{Target: id}, func(current *schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error) {
 			known := current.GetTarget()
 			switch {
--- a/pkg/registrar/registrations.go
+++ b/pkg/registrar/registrations.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -73,7 +72,7 @@
 
 // command returns the command that commits the batch. A single registration has its own field, which earlier versions know too.
 func (b *registrationBatch) command() *schemav1.RegistryCommand {
-	command := &schemav1.RegistryCommand{ProposedUnixMs: time.Now().UnixMilli()}
+	command := &schemav1.RegistryCommand{ProposedUnixMs: timeOfDay()}
 	if len(b.targets) == 1 {
 		command.Registration = b.targets[0]
 	} else {
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -246,10 +246,12 @@
 const lateAnnouncementTime = 5 * time.Second
 
 // mayBeRemoved reports whether next may be a late announcement of the process that a removal without a start meant. A process that was
-// started after the removal, and one that still announces itself later, are others.
+// started after the removal, and one that still announces itself later, are others. A clock that was set back is no reason to wait until it
+// has caught up.
 func mayBeRemoved(old, next *schemav1.Registration, proposedUnixMs int64) bool {
 	removedAt := old.GetRemovedUnixMs()
-	return removedAt > 0 && next.GetStartedUnixMs() <= removedAt && proposedUnixMs > 0 && proposedUnixMs < removedAt+lateAnnouncementTime.Milliseconds()
+	late := proposedUnixMs >= removedAt && proposedUnixMs < removedAt+lateAnnouncementTime.Milliseconds()
+	return removedAt > 0 && next.GetStartedUnixMs() <= removedAt && late
 }
 
 func (s *State) applyRegistration(next *schemav1.Registration, version uint64, proposedUnixMs int64) bool {
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -160,6 +160,8 @@
 		Expect(announce(removedAt-2000, removedAt+lateAnnouncementTime.Milliseconds())).To(Equal(1), "a process that is still there")
 		apply(s, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: "t", RemovedUnixMs: removedAt + 9000}})
 		Expect(announce(removedAt+9500, removedAt+9800)).To(Equal(1), "a process that was started after the removal")
+		apply(s, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{Id: "t", RemovedUnixMs: removedAt + 20000}})
+		Expect(announce(removedAt+15000, removedAt-3_600_000)).To(Equal(1), "by a host whose clock was set back")
 	})
 })
 
