registrar: specs of late orders replace nothing of a host that runs

Commands are held up by the partition of the group now, which the client asks, and the clock of the detector is an option that only tests set.

--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -28,6 +28,10 @@
 type partition struct {
 	address atomic.Pointer[string]
 	dark    atomic.Pointer[[]string]
+	// held holds up the commands of one host on their way to the leader.
+	held atomic.Pointer[heldForwards]
+	// pauseClock is the clock by which the hosts detect pauses, or nil.
+	pauseClock func() time.Duration
 }
 
 func (p *partition) cuts(a, b string) bool {
@@ -50,6 +54,9 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	if held := c.partition.held.Load(); held != nil && held.from == c.address && method == methodForward {
+		return held.hold(ctx, c.Client, address, request)
+	}
 	return c.Client.Call(ctx, address, method, request, response)
 }
 
@@ -73,8 +80,8 @@
 			fileSystem = fileSystems[i]
 		}
 		r, err := New(context.Background(), Options{
-			fileSystem: fileSystem,
-			Name:       fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
+			fileSystem: fileSystem, pauseClock: p.pauseClock,
+			Name: fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
 			DataDir: GinkgoT().TempDir(),
 			Decode: func(d *schemav1.RouteDocument) (*routes.Configuration, error) {
 				c := &routes.Configuration{Revision: d.GetRevision(), Services: map[string]routes.Service{"desk": {Name: "desk", ColdPeriod: time.Minute}}}
--- a/pkg/registrar/orders_test.go
+++ b/pkg/registrar/orders_test.go
@@ -3,34 +3,32 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
-	"almondrock.example/almondrock/pkg/internal/pauses"
 	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
-// heldForwards is a client on whose way to the leader commands are held up. They arrive after their caller has given up, when release is
-// called.
+// heldForwards holds up the commands of one registry host on their way to the leader. They arrive after their caller has given up, when
+// release is called.
 type heldForwards struct {
-	rpc.Client
+	from string
 	mu   sync.Mutex
 	held []func()
 }
 
-func (c *heldForwards) Call(ctx context.Context, address, method string, request, response proto.Message) error {
-	if method != methodForward {
-		return c.Client.Call(ctx, address, method, request, response)
-	}
+// hold keeps a command, and returns when its caller gives up.
+func (c *heldForwards) hold(ctx context.Context, client rpc.Client, address string, request proto.Message) error {
 	c.mu.Lock()
 	c.held = append(c.held, func() {
 		late, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		Expect(c.Client.Call(late, address, method, request, &schemav1.RegistryForwarded{})).To(Succeed())
+		Expect(client.Call(late, address, methodForward, request, &schemav1.RegistryForwarded{})).To(Succeed())
 	})
 	c.mu.Unlock()
 	<-ctx.Done()
@@ -52,7 +50,8 @@
 	var late, leader *Registrar
 	var held *heldForwards
 	BeforeEach(func() {
-		hosts = startGroup(&partition{})
+		p := &partition{}
+		hosts = startGroup(p)
 		for _, r := range hosts {
 			Eventually(says, "10s").WithArguments(r).Should(BeTrue())
 		}
@@ -62,8 +61,8 @@
 				leader = r
 			}
 		}
-		held = &heldForwards{Client: late.client}
-		late.client = held
+		held = &heldForwards{from: late.options.PeerAddress}
+		p.held.Store(held)
 	})
 
 	// Guards against an evacuated data centre that gets requests again, because an order which its caller had given up and repeated elsewhere
@@ -111,21 +110,18 @@
 	// Guards against an order that waited in the connection of a caller while this host stood still, and is carried out although its caller has
 	// given newer ones to other hosts since (EVAC, review/3).
 	It("is refused after a pause of the host for as long as it may have waited there", func() {
-		hosts := startGroup(&partition{})
+		var now atomic.Int64
+		now.Store(int64(time.Hour))
+		hosts := startGroup(&partition{pauseClock: func() time.Duration { return time.Duration(now.Load()) }})
 		Eventually(says, "10s").WithArguments(hosts[0]).Should(BeTrue())
-		now := time.Hour
 		pausing := hosts[0]
-		pausing.pauses = pauses.New(func() time.Duration { return now })
-		ended, cancel := context.WithCancel(context.Background())
-		cancel()
-		pausing.pauses.Run(ended)
 		evacuate := func() error { return pausing.SetEvacuated(context.Background(), "n", true) }
 		Expect(evacuate()).To(Succeed())
-		now += 4 * time.Second
+		now.Add(int64(4 * time.Second))
 		Expect(evacuate()).To(MatchError(ErrPaused))
 		Expect(pausing.RemoveTarget(context.Background(), "t", 0)).To(MatchError(ErrPaused))
 		for range 12 {
-			now += 100 * time.Millisecond
+			now.Add(int64(100 * time.Millisecond))
 			pausing.pauses.SinceLast()
 		}
 		Expect(evacuate()).To(Succeed())
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -81,6 +81,8 @@
 	Granter grants.Granter
 	// fileSystem replaces DataDir in tests.
 	fileSystem wal.FS
+	// pauseClock replaces pauses.BootClock in tests.
+	pauseClock func() time.Duration
 }
 
 // Registrar is a registry host.
@@ -129,11 +131,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.pauseClock == nil {
+		options.pauseClock = pauses.BootClock
+	}
 	r := &Registrar{
 		options: options, state: registry.NewState(), log: log, fresh: member.IsEmpty(replication.PersistentState(state)),
 		client: rpc.NewClient(rpc.ClientOptions{BackoffMax: maxDialBackOff}), server: rpc.NewServer(rpc.ServerOptions{}),
 		started: time.Now(), failed: make(chan error, 1), metrics: metrics.New(options.Name, options.DataCentre),
-		pauses: pauses.New(pauses.BootClock),
+		pauses: pauses.New(options.pauseClock),
 	}
 	initialID := uint64(0)
 	if options.Bootstrap && slices.Contains(options.Seeds, options.PeerAddress) {
