--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -89,8 +89,8 @@
 	return timeout
 }
 
-// prepare checks the key, reads the body and checks that there is time for the request. If it refuses the request, it sends the response and returns the result for the
-// log; otherwise it returns "".
+// prepare checks the key, reads the body and checks that there is time for the request. If it refuses the request, it sends the response
+// and returns the result for the log; otherwise it returns "".
 func (x *exchange) prepare() string {
 	configuration := x.host.current().table.Configuration
 	if service, ok := configuration.Services[x.service]; ok && service.Exclusive {
