grants: log lines tell the ways apart in which two targets can get the same keys

The lines on grants named neither the term, the address and the start of the owner, nor the duration of a call and how long its grant may still hold, and calls that succeeded left no line. So a record of two owners did not show whether another leader had acted, a call without an answer was pending, or the address had another process.

The first confirmation of each fence, releases and raised fences are logged now; renewals, one a second for each range, are not.

--- a/pkg/grants/manager.go
+++ b/pkg/grants/manager.go
@@ -57,6 +57,8 @@
 	granter  Granter
 	clock    func() time.Duration
 	tasks    sync.WaitGroup
+	// Term is the term of the leader, for log lines. It must be set before the first Step.
+	Term uint64
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -330,6 +332,7 @@
 		return retryInterval, false
 	}
 	g := m.newGrant(owner, r)
+	phase, wasFailing, began := record.phase, record.failing, m.clock()
 	g.Handover, g.Renewal = record.handover, record.beginGrant()
 	err := m.granter.Grant(callCtx, g)
 	if errors.Is(err, ErrConnectionClosed) {
@@ -338,10 +341,13 @@
 	now := m.clock()
 	if err == nil {
 		record.grantConfirmed(now)
+		// Renewals are not logged: each range is renewed once a second.
+		if phase == phaseUnused || wasFailing {
+			m.logCall("key range granted", service, r, owner, record, phase, now-began)
+		}
 		return 0, true
 	}
-	klog.InfoS("grant failed", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "fence", r.GetFence(),
-		"target", r.GetOwner(), "err", err)
+	m.logCall("grant failed", service, r, owner, record, phase, now-began, "renewal", g.Renewal, "noEffect", hadNoEffect(err), "err", err)
 	if isStaleFence(err) {
 		// The owner may hold the keys under an older fence, so they must not move at once.
 		return max(retryInterval, m.raiseFence(ctx, service, r, record, "target has a higher fence")), false
@@ -401,8 +407,9 @@
 		First: r.GetFirst(), Last: r.GetLast(), Owner: r.GetOwner(), OwnerStartedUnixMs: ownerStarted, State: state,
 	}}
 	result, err := m.proposer.Propose(ctx, &schemav1.RegistryCommand{Range: change})
-	klog.V(1).InfoS("fence raised", "service", service, "first", r.GetFirst(), "target", r.GetOwner(), "ownerStarted", ownerStarted,
-		"fence", result.GetFence(), "applied", result.GetApplied(), "reason", reason, "err", err)
+	klog.InfoS("fence raised", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "target", r.GetOwner(),
+		"ownerStarted", ownerStarted, "fence", result.GetFence(), "previousFence", r.GetFence(), "term", m.Term,
+		"applied", result.GetApplied(), "reason", reason, "err", err)
 	if err != nil || !result.GetApplied() {
 		return retryInterval
 	}
@@ -450,16 +457,31 @@
 func (m *Manager) callRelease(
 	ctx context.Context, service string, r *schemav1.KeyRange, record *grantRecord, owner *schemav1.Registration,
 ) (handover string, released bool) {
-	callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, record.expiresAt-m.clock()))
+	began := m.clock()
+	callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, record.expiresAt-began))
 	defer cancel()
 	handover, err := m.granter.Release(callCtx, m.newGrant(owner, r))
 	if err != nil {
-		klog.InfoS("release failed", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "fence", r.GetFence(),
-			"target", r.GetOwner(), "err", err)
+		m.logCall("release failed", service, r, owner, record, record.phase, m.clock()-began, "err", err)
+	} else {
+		m.logCall("key range released", service, r, owner, record, record.phase, m.clock()-began)
 	}
 	return handover, err == nil
 }
 
+// logCall logs the result of a call to the owner of a range. phase is the phase of the record before the call.
+func (m *Manager) logCall(
+	message, service string, r *schemav1.KeyRange, owner *schemav1.Registration, record *grantRecord, phase grantPhase, took time.Duration,
+	extra ...any,
+) {
+	now := m.clock()
+	klog.InfoS(message, append([]any{
+		"service", service, "first", r.GetFirst(), "last", r.GetLast(), "fence", r.GetFence(), "target", r.GetOwner(),
+		"address", owner.GetAddress(), "ownerStarted", owner.GetStartedUnixMs(), "term", m.Term, "took", took,
+		"phase", phase.String(), "expiresIn", record.expiresAt - now, "unconfirmedFor", max(0, record.unconfirmedUntil-now),
+	}, extra...)...)
+}
+
 // assign chooses and commits the next owner of a range that no target holds any more. avoid is a target to pass over, or empty.
 func (m *Manager) assign(
 	ctx context.Context, service string, r *schemav1.KeyRange, table *schemav1.KeyTable, candidates []Candidate, avoid, reason string,
@@ -473,6 +495,9 @@
 		return retryInterval
 	}
 	defer m.forgetPlan(key)
+	m.mu.Lock()
+	phase, expiresAt := m.records[key].phase, m.records[key].expiresAt
+	m.mu.Unlock()
 	change := &schemav1.RangeChange{Service: service, ExpectedFence: r.GetFence(), Range: &schemav1.KeyRange{
 		First: r.GetFirst(), Last: r.GetLast(), Owner: next.GetId(), OwnerStartedUnixMs: next.GetStartedUnixMs(),
 		State: schemav1.RangeState_RANGE_STATE_GRANTING,
@@ -483,7 +508,9 @@
 		return retryInterval
 	}
 	klog.InfoS("key range assigned", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "from", r.GetOwner(),
-		"to", next.GetId(), "fence", result.GetFence(), "applied", result.GetApplied(), "reason", reason)
+		"to", next.GetId(), "address", next.GetAddress(), "ownerStarted", next.GetStartedUnixMs(), "fence", result.GetFence(),
+		"previousFence", r.GetFence(), "term", m.Term, "phase", phase.String(), "expiredFor", m.clock()-expiresAt,
+		"applied", result.GetApplied(), "reason", reason)
 	if result.GetApplied() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -45,6 +45,7 @@
 		l.ctx, l.cancel = context.WithCancel(r.ctx)
 		l.suspectAges, l.expectedCold = suspectAges{}, expectedCold{}
 		l.manager = grants.New(r.state, r, r.options.Granter, func() time.Duration { return time.Since(r.started) })
+		l.manager.Term = status.Term
 	}
 	l.changeMembership(status)
 	r.expireSuspects(&l.suspectAges)
