--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -278,6 +278,10 @@
 	now := h.now()
 	h.dispatcher.SetColdRates(updated.coldRates())
 	h.dispatcher.SetEvacuated(updated.evacuated)
+	if !slices.Equal(old.evacuated, updated.evacuated) {
+		klog.InfoS("evacuated data centres changed", "host", h.options.Name, "from", old.evacuated, "to", updated.evacuated,
+			"viewVersion", updated.version, "viewAge", h.viewAge())
+	}
 	if update.GetFull() || len(update.GetTargets()) > 0 {
 		h.dispatcher.SetTargets(now, updated.dispatchTargets(h.options.Regions))
 	}
--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -9,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/internal/monotonic"
+	"almondrock.example/almondrock/pkg/registry"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -121,6 +123,16 @@
 	return err
 }
 
+// logEvacuationOrder logs what became of an evacuation order on this host.
+func (r *Registrar) logEvacuationOrder(o registry.EvacuationOutcome) {
+	expected := "none"
+	if o.Expected != nil {
+		expected = strconv.FormatUint(*o.Expected, 10)
+	}
+	klog.InfoS("evacuation order applied", "host", r.options.Name, "dataCentre", o.DataCentre, "out", o.Out, "wasOut", o.WasOut,
+		"overtaken", o.Overtaken, "after", expected, "number", o.Number, "version", o.Version)
+}
+
 // RemoveTarget marks a target as gone. started is the start time of the target in Unix milliseconds, or 0 if it is not known; the target must
 // be registered then. It fails with ErrUnknownTarget if it is not, and with ErrPaused, ErrCallerLeft or ErrOvertaken if the removal may be
 // older than the start that is registered.
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -140,6 +140,7 @@
 		started: time.Now(), failed: make(chan error, 1), metrics: metrics.New(options.Name, options.DataCentre),
 		pauses: pauses.New(options.pauseClock),
 	}
+	r.state.OnEvacuationOrder(r.logEvacuationOrder)
 	initialID := uint64(0)
 	if options.Bootstrap && slices.Contains(options.Seeds, options.PeerAddress) {
 		initialID = bootstrapID(options.PeerAddress)
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/guard"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -44,8 +45,29 @@
 	changed chan struct{}
 	// changeVersions has the version of the last change of each part.
 	changeVersions changeVersions
+	// onEvacuationOrder is called with the outcome of each evacuation order that is applied, or nil.
+	onEvacuationOrder func(EvacuationOutcome)
 }
 
+// EvacuationOutcome is what became of an evacuation order when it was applied.
+type EvacuationOutcome struct {
+	DataCentre string
+	// Out is what was ordered. WasOut is whether the data centre was evacuated before.
+	Out, WasOut bool
+	// Expected is the number of the order before it when it was received, or nil for orders of earlier versions.
+	Expected *uint64
+	// Number is that of the last order for the data centre, which is this one unless it was overtaken.
+	Number uint64
+	// Overtaken is set if it contradicts a newer order. It has no effect then.
+	Overtaken bool
+	// Version is that of the state with this order.
+	Version uint64
+}
+
+// OnEvacuationOrder calls f with the outcome of each evacuation order that is applied, also of those in the log that is read at the start.
+// It must be called before the first order is applied. f must not block, nor call the state.
+func (s *State) OnEvacuationOrder(f func(EvacuationOutcome)) { s.onEvacuationOrder = f }
+
 // changeVersions has the version at which each part of the state last changed. UpdateSince uses it to select what to send.
 type changeVersions struct {
 	routes, evacuated, registryHosts uint64
@@ -323,12 +345,21 @@
 func (s *State) applyEvacuation(change *schemav1.EvacuationChange, version uint64, result *schemav1.RegistryResult) bool {
 	dataCentre := change.GetDataCentre()
 	contradicts := s.evacuations[dataCentre] != change.GetOut()
-	if contradicts && change.ExpectedOrder != nil && change.GetExpectedOrder() != s.evacuationOrders[dataCentre] {
-		result.Overtaken = true
-		return false
+	result.Overtaken = contradicts && change.ExpectedOrder != nil && change.GetExpectedOrder() != s.evacuationOrders[dataCentre]
+	if !result.GetOvertaken() {
+		s.evacuationOrders[dataCentre]++
+	}
+	if s.onEvacuationOrder != nil {
+		outcome := EvacuationOutcome{
+			DataCentre: dataCentre, Out: change.GetOut(), WasOut: s.evacuations[dataCentre], Expected: change.ExpectedOrder,
+			Number: s.evacuationOrders[dataCentre], Overtaken: result.GetOvertaken(), Version: s.version,
+		}
+		if contradicts && !outcome.Overtaken {
+			outcome.Version = version
+		}
+		s.onEvacuationOrder(outcome)
 	}
-	s.evacuationOrders[dataCentre]++
-	if !contradicts {
+	if result.GetOvertaken() || !contradicts {
 		return false
 	}
 	if change.GetOut() {
@@ -512,6 +543,7 @@
 	s.evacuationOrders = fresh.evacuationOrders
 	s.keyTables, s.entryHosts, s.hosts, s.endedTargets, s.changeVersions, s.suspects =
 		fresh.keyTables, fresh.entryHosts, fresh.hosts, fresh.endedTargets, fresh.changeVersions, fresh.suspects
+	klog.InfoS("registry restored from a snapshot", "version", s.version, "evacuated", s.evacuated(), "evacuationOrders", s.evacuationOrders)
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return nil
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -128,6 +128,23 @@
 		Expect(s.EvacuationOrder("e")).To(BeEquivalentTo(1))
 	})
 
+	It("are told with their numbers, so that logs show which one was in force when", func() {
+		s := NewState()
+		var outcomes []EvacuationOutcome
+		s.OnEvacuationOrder(func(o EvacuationOutcome) { outcomes = append(outcomes, o) })
+		evacuate(s, true, 0)
+		evacuate(s, true, 0)
+		evacuate(s, false, 0)
+		evacuate(s, false, 2)
+		zero, two := uint64(0), uint64(2)
+		Expect(outcomes).To(Equal([]EvacuationOutcome{
+			{DataCentre: "d", Out: true, Expected: &zero, Number: 1, Version: 1},
+			{DataCentre: "d", Out: true, WasOut: true, Expected: &zero, Number: 2, Version: 1},
+			{DataCentre: "d", WasOut: true, Expected: &zero, Number: 2, Overtaken: true, Version: 1},
+			{DataCentre: "d", WasOut: true, Expected: &two, Number: 3, Version: 2},
+		}))
+	})
+
 	// Guards against a target that serves on after its removal was acknowledged, because its first announcement arrives after that.
 	It("do not register a start of a target that was removed before it was known", func() {
 		s := NewState()
