replication: the leader lease does not outlive a suspension of the machine

A machine that was suspended goes on with a monotonic clock that did not count that time. A leader that was suspended for 5 s held its lease for up to 275 ms afterwards, while another leader had moved keys. Its grants could arrive later than 300 ms after it was thawed: the lease, the dial of a connection (up to 300 ms) and the way add up. Followers and the ages of states were measured by the same clock, so that a suspended host also took its state for young.

Cause: leases, timeouts and ages were measured by the monotonic clock of the runtime. Change: the clock of replicas is CLOCK_BOOTTIME, and so is the one of the leases of hosts in the two-tier mode (same cause; read, not reproduced there). What another host concludes from the passing of time then holds here too. The clock of the grants' manager stays as it is: it may only be slow, which makes its waits longer.

--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/decisionlog"
+	"almondrock.example/almondrock/pkg/internal/pauses"
 	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/link"
 	"almondrock.example/almondrock/pkg/member"
@@ -83,8 +84,8 @@
 // New opens the data directory and the listeners. Start begins to serve.
 func New(options Options) (*Host, error) {
 	h := &Host{options: options, settings: options.Settings, startedUnixMs: time.Now().UnixMilli(), renewNow: make(chan struct{}, 1)}
-	start := time.Now()
-	h.clock = func() time.Duration { return time.Since(start) }
+	start := pauses.BootClock()
+	h.clock = func() time.Duration { return pauses.BootClock() - start }
 	h.lease = lease.NewHolder(h.clock)
 	h.decisions = decisionlog.New(h.settings.GetName(), h.settings.GetLogDecisions())
 	h.seeds = settings.ParseMembers(h.settings.GetSeeds())
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -17,7 +17,8 @@
 // MaxClockRateError is the largest relative difference that is allowed between the rates of two hosts' monotonic clocks.
 const MaxClockRateError = 0.01
 
-// Clock returns the monotonic time since an arbitrary fixed point in the life of the process.
+// Clock returns the monotonic time since an arbitrary fixed point in the life of the process. It must count the time for which the machine is
+// suspended: the grantor takes the lease as ended then.
 type Clock func() time.Duration
 
 // Holder is a lease as seen by the side that relies on it. It is safe for concurrent use.
--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
@@ -32,6 +33,8 @@
 	held atomic.Pointer[heldForwards]
 	// pauseClock is the clock by which the hosts detect pauses, or nil.
 	pauseClock func() time.Duration
+	// clock is the clock of the replicas, or nil.
+	clock clockwork.Clock
 }
 
 func (p *partition) cuts(a, b string) bool {
@@ -80,7 +83,7 @@
 			fileSystem = fileSystems[i]
 		}
 		r, err := New(context.Background(), Options{
-			fileSystem: fileSystem, pauseClock: p.pauseClock,
+			fileSystem: fileSystem, pauseClock: p.pauseClock, clock: p.clock,
 			Name: fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
 			DataDir: GinkgoT().TempDir(),
 			Decode: func(d *schemav1.RouteDocument) (*routes.Configuration, error) {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -83,6 +83,8 @@
 	fileSystem wal.FS
 	// pauseClock replaces pauses.BootClock in tests.
 	pauseClock func() time.Duration
+	// clock replaces the default clock of the replica in tests.
+	clock clockwork.Clock
 }
 
 // Registrar is a registry host.
@@ -268,7 +270,7 @@
 	replica, err := replication.New(replication.Options{
 		ID: r.id, Address: r.options.PeerAddress, Group: groupName, InitialMembers: initial,
 		Storage: member.NewStorage(r.ctx, r.log, r.recordDiskFull), Transport: member.NewTransport(r.ctx, r.client, &r.tasks),
-		StateMachine: r.state, Clock: clockwork.NewRealClock(), Tick: tickInterval,
+		StateMachine: r.state, Clock: r.options.clock, Tick: tickInterval,
 		Raft: raft.Config{
 			ElectionMinTicks: electionMinTicks, ElectionMaxTicks: electionMaxTicks, HeartbeatTicks: heartbeatTicks,
 			LearnerHeartbeatTicks: learnerHeartbeatTicks,
--- a/pkg/replication/options.go
+++ b/pkg/replication/options.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"almondrock.example/almondrock/pkg/internal/pauses"
 	"almondrock.example/almondrock/pkg/raft"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 
@@ -36,7 +37,8 @@
 	Storage      Storage
 	Transport    Transport
 	StateMachine StateMachine
-	Clock        clockwork.Clock
+	// Clock must go on while the machine is suspended, because the leader lease depends on it. The default does.
+	Clock clockwork.Clock
 	// Rand returns a random number in [0, n). The default is rand.IntN of math/rand/v2.
 	Rand func(n int) int
 
@@ -66,7 +68,7 @@
 	setDefault(&o.SnapshotThresholdBytes, DefaultSnapshotThresholdBytes)
 	setDefault(&o.RetainedEntries, DefaultRetainedEntries)
 	if o.Clock == nil {
-		o.Clock = clockwork.NewRealClock()
+		o.Clock = pauses.NewClock()
 	}
 	if o.Rand == nil {
 		o.Rand = rand.IntN
