grants: the lease is checked once the connection of a call is open

A grant call checked the leader lease and then opened a connection, which may take 300 ms. The lease is checked again when the connection is open, right before the call is written; only a pause between these two steps is left, after which the call leaves at once.

Evidence: without the second check the new spec of the manager finds that a target holds keys, granted after the lease had ended ("Expected map ... t1: {54613:} to be empty").

--- a/pkg/grants/errors.go
+++ b/pkg/grants/errors.go
@@ -11,6 +11,9 @@
 // ErrConnectionClosed is returned for a renewal if the connection that carried the grant is closed.
 var ErrConnectionClosed = merry.Sentinel("the connection over which the keys were granted is closed")
 
+// errLeaseEnded is the error of a grant call that was not sent because another host may be the leader by now.
+var errLeaseEnded = merry.Sentinel("the leader lease has ended")
+
 // StaleFenceError reports that a target has seen a higher fence for one of the keys.
 type StaleFenceError struct{ Target string }
 
--- a/pkg/grants/granter.go
+++ b/pkg/grants/granter.go
@@ -23,12 +23,16 @@
 	// Renewal is set if an earlier call may have carried this fence. The call may then use only the connection of that call, because
 	// another process may have taken over the address since, and must not get the keys under the same fence.
 	Renewal bool
+	// BeforeSend is called once the connection of a grant call is open, right before the call is sent. After an error it is not sent. The
+	// leader may have been replaced while the connection was opened.
+	BeforeSend func() error
 }
 
 // Granter calls targets about key ranges.
 type Granter interface {
 	// Grant gives or renews a grant. It fails with a StaleFenceError if the target has seen a higher fence, with a StatusError if
-	// the target refuses the call, and with ErrConnectionClosed if g is a renewal and the connection of the earlier call is closed.
+	// the target refuses the call, with ErrConnectionClosed if g is a renewal and the connection of the earlier call is closed, and with
+	// the error of g.BeforeSend.
 	Grant(ctx context.Context, g *Grant) error
 	// Release ends a grant. It returns the handover for the next owner once the work on the keys has ended.
 	Release(ctx context.Context, g *Grant) (handover string, err error)
--- a/pkg/grants/manager.go
+++ b/pkg/grants/manager.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/guard"
@@ -328,10 +329,11 @@
 ) (pause time.Duration, confirmed bool) {
 	callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	if !m.proposer.HoldsLeaderLease() {
+	if m.checkLease() != nil {
 		return retryInterval, false
 	}
 	g := m.newGrant(owner, r)
+	g.BeforeSend = m.checkLease
 	phase, wasFailing, began := record.phase, record.failing, m.clock()
 	g.Handover, g.Renewal = record.handover, record.beginGrant()
 	err := m.granter.Grant(callCtx, g)
@@ -348,6 +350,9 @@
 		return 0, true
 	}
 	m.logCall("grant failed", service, r, owner, record, phase, now-began, "renewal", g.Renewal, "noEffect", hadNoEffect(err), "err", err)
+	if errors.Is(err, errLeaseEnded) {
+		return retryInterval, false
+	}
 	if isStaleFence(err) {
 		// The owner may hold the keys under an older fence, so they must not move at once.
 		return max(retryInterval, m.raiseFence(ctx, service, r, record, "target has a higher fence")), false
@@ -361,6 +366,14 @@
 	return retryInterval, false
 }
 
+// checkLease returns an error if another host may be the leader.
+func (m *Manager) checkLease() error {
+	if !m.proposer.HoldsLeaderLease() {
+		return merry.Wrap(errLeaseEnded)
+	}
+	return nil
+}
+
 // reassignRestarted gives a range whose owner has started again to the best candidate. The process to which the keys were granted first has
 // ended. But a call names only the ID of the target, so that one since the restart may have granted the keys to the new process, which
 // then has to release them before they can move.
--- a/pkg/grants/manager_test.go
+++ b/pkg/grants/manager_test.go
@@ -40,6 +40,8 @@
 	violations []string
 	// highestFence is the highest fence that a target has seen; it refuses grants with lower ones.
 	highestFence map[string]uint64
+	// leaseEndsDuringDial makes the leader lease end while the connection of the next grant call is opened.
+	leaseEndsDuringDial bool
 	// released is the number of releases.
 	released int
 	// handedOver is the number of grants with the handover of an earlier owner.
@@ -142,6 +144,15 @@
 	if connectedProcess, ok := h.connectedProcess[connection]; g.Renewal && (!ok || connectedProcess != process) {
 		return ErrConnectionClosed
 	}
+	if h.leaseEndsDuringDial {
+		h.isLeader = false
+	}
+	h.mu.Unlock()
+	err := g.BeforeSend()
+	h.mu.Lock()
+	if err != nil {
+		return &upstream.Error{Stage: upstream.NotSent, Cause: err}
+	}
 	h.connectedProcess[connection] = process
 	if first, ok := h.firstProcess[connection]; ok && first != process {
 		h.violations = append(h.violations, "a second process at "+g.Target+" received a fence that the first process had received")
@@ -212,6 +223,15 @@
 		}
 	})
 
+	// Guards against a call that leaves after another leader has taken over and moved the keys.
+	It("sends no grant if the leader lease ends while the connection is opened", func() {
+		h := newHarness(owners(2))
+		h.leaseEndsDuringDial = true
+		h.run(5 * time.Second)
+		Expect(h.isLeader).To(BeFalse())
+		Expect(h.heldUntil).To(BeEmpty())
+	})
+
 	It("moves the keys of an unreachable target only after its grants have certainly expired, and then within seconds", func() {
 		h := newHarness(owners(3))
 		h.run(5 * time.Second)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -182,6 +182,8 @@
 	RequireNew bool
 	// RequireReused asks for an idle connection; Send fails with ErrNoReusableConnection if there is none.
 	RequireReused bool
+	// BeforeWrite, if not nil, is called once the connection is open, right before the request is written. After an error nothing is written.
+	BeforeWrite func() error
 }
 
 // Response is a response whose header has arrived. The caller must call Finish or Abort.
@@ -216,6 +218,11 @@
 	if err := cn.SetDeadline(r.Deadline); err != nil {
 		return fail(NotSent, err)
 	}
+	if r.BeforeWrite != nil {
+		if err := r.BeforeWrite(); err != nil {
+			return fail(NotSent, err)
+		}
+	}
 	written, n, err := writeRequest(cn, r)
 	if err != nil {
 		if n == 0 {
