grants: what an earlier leader decided moves no keys that have been granted since

Two targets could hold the same keys, both granted by one host. A leader releases a range and stands still on its way to move it. Meanwhile another host is elected that was the leader before and still has the connection of the range's fence. It renews the grant under the same fence. The first one goes on, and its command, which a host that is no longer the leader forwards, expects exactly this fence and is committed; the new owner is granted the keys at once. The same is possible for a leader's own command whose outcome it does not know.

Cause: a change of a range is tied to the fence that it expects, but a new leader granted under the fence that it found. Change: a leader raises the fence before its first grant of a range, and again after a proposal of unknown outcome, so that no earlier command fits any more. In nearly all cases it did so already, because it had no connection for the renewal; then nothing changes.

--- a/pkg/grants/manager.go
+++ b/pkg/grants/manager.go
@@ -332,6 +332,9 @@
 	if m.checkLease() != nil {
 		return retryInterval, false
 	}
+	if record.changeable {
+		return m.raiseFence(ctx, service, r, record, "may still be moved by an earlier proposal"), false
+	}
 	g := m.newGrant(owner, r)
 	g.BeforeSend = m.checkLease
 	phase, wasFailing, began := record.phase, record.failing, m.clock()
@@ -518,6 +521,9 @@
 	result, err := m.proposer.Propose(ctx, &schemav1.RegistryCommand{Range: change})
 	if err != nil {
 		klog.ErrorS(err, "new owner of key range not committed", "service", service, "first", r.GetFirst())
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.records[key].changeable = true
 		return retryInterval
 	}
 	klog.InfoS("key range assigned", "service", service, "first", r.GetFirst(), "last", r.GetLast(), "from", r.GetOwner(),
--- a/pkg/grants/manager_test.go
+++ b/pkg/grants/manager_test.go
@@ -232,6 +232,28 @@
 		Expect(h.heldUntil).To(BeEmpty())
 	})
 
+	// Guards against two owners (OWNER) after a leader is replaced, elected again, and renews grants over the connections that it still has,
+	// while the leader in between stood still on its way to move the keys that it had released.
+	It("does not let the decision of an earlier leader move keys that it has granted", func() {
+		h := newHarness(owners(2))
+		h.run(5 * time.Second)
+		earlier := h.state.Keys("files").GetRanges()
+		h.manager = New(h.state, h, h, h.clock)
+		h.run(2 * renewInterval)
+		for _, r := range earlier {
+			next := "t0"
+			if r.GetOwner() == next {
+				next = "t1"
+			}
+			h.mustApply(&schemav1.RegistryCommand{Range: &schemav1.RangeChange{
+				Service: "files", ExpectedFence: r.GetFence(), Range: &schemav1.KeyRange{
+					First: r.GetFirst(), Last: r.GetLast(), Owner: next, OwnerStartedUnixMs: r.GetOwnerStartedUnixMs(),
+				},
+			}})
+		}
+		h.run(time.Second)
+	})
+
 	It("moves the keys of an unreachable target only after its grants have certainly expired, and then within seconds", func() {
 		h := newHarness(owners(3))
 		h.run(5 * time.Second)
--- a/pkg/grants/record.go
+++ b/pkg/grants/record.go
@@ -34,6 +34,9 @@
 	// unconfirmedUntil is the time until which a grant call without a response may still take effect. Targets may apply a grant
 	// seconds after its arrival, also after a release, but its validity counts from its arrival.
 	unconfirmedUntil time.Duration
+	// changeable is set while a proposal of unknown outcome, of this leader or an earlier one, may still give the range to another target. The
+	// fence must then be raised before the next grant, because such a proposal expects the present one.
+	changeable bool
 	// handover is what the previous owner returned at the release, until the next owner has confirmed a grant.
 	handover string
 	// failing is set by a failed grant call until one succeeds; failingSince is the time of the first failure.
@@ -46,7 +49,7 @@
 func inheritedRecord(fence uint64, now time.Duration) grantRecord {
 	return grantRecord{
 		callSchedule: callSchedule{nextCallAt: now}, fence: fence, phase: phaseInherited, expiresAt: now + maxGrantAge,
-		unconfirmedUntil: now + maxGrantAge,
+		unconfirmedUntil: now + maxGrantAge, changeable: true,
 	}
 }
 
@@ -90,7 +93,9 @@
 }
 
 // fenceRaised records a higher fence for the same owner. A grant under the old fence stays valid.
-func (r *grantRecord) fenceRaised(fence uint64) { r.fence, r.phase = fence, phaseUnused }
+func (r *grantRecord) fenceRaised(fence uint64) {
+	r.fence, r.phase, r.changeable = fence, phaseUnused, false
+}
 
 // ownerReleased records that the owner has released the keys.
 func (r *grantRecord) ownerReleased(now time.Duration, handover string) {
@@ -104,7 +109,7 @@
 		// The last owner may have worked on the keys since its release.
 		r.handover = ""
 	}
-	r.fence, r.phase, r.expiresAt, r.unconfirmedUntil, r.failing = fence, phaseUnused, now, 0, false
+	r.fence, r.phase, r.expiresAt, r.unconfirmedUntil, r.failing, r.changeable = fence, phaseUnused, now, 0, false, false
 }
 
 // callSchedule tells when the next call for a range is due. Only one call is made at a time.
