monotonic: Sleep tells that its context has ended, also if the timer is ready

What callers see: an evacuated data centre may get requests again (EVAC). An order whose caller had closed its connection was carried out in half of the cases in which the host noticed both at once, the close and the end of closeDelay, as it does after a pause.

Cause: select takes either of two channels that are ready. Sleep returned true if it took the timer.

The context is asked after the timer, so that its end counts whenever it came before the return.

--- a/pkg/internal/monotonic/monotonic.go
+++ b/pkg/internal/monotonic/monotonic.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Sleep waits for d. It returns false when ctx ends first.
+// Sleep waits for d. It returns false if ctx ends before it returns.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -15,7 +15,8 @@
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
-		return true
+		// If both are ready, select takes either.
+		return ctx.Err() == nil
 	}
 }
 
