registrar: an order is refused unless its number was read while its caller still waited

What callers see: an evacuated data centre gets requests again, from all entry hosts and until the next order (EVAC).

Cause: the number protects an order only against those that were given before it was read. An order waits for up to 0.7 s in a host that stands still without refusing it, or longer in several short pauses, and its number was then read for up to 0.9 s more. Callers turn to another host after 1 s. If the end of their connection is held up, the number that was read was that of the newer order, which the old one then undid.

The age at which the number has been read is what counts: the pauses of the last second, each taken at its full length, plus the time since the host read the order, by the clock that goes on during suspensions. From 0.9 s on the order is refused with 503. So a caller that waits for a second has given no newer order before. Orders that were read after one pause of 0.7 s to 0.85 s are no longer refused for a second, if the leader answers at once. The end of the connection is waited for again if the host stood still while it waited.

--- a/pkg/internal/pauses/pauses.go
+++ b/pkg/internal/pauses/pauses.go
@@ -3,7 +3,7 @@
 
 import (
 	"context"
-	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,10 +15,15 @@
 
 const (
 	// interval is the time between two observations.
-	interval = 100 * time.Millisecond
-	// minPause is the time between two observations from which on it counts as a pause. What waited for less is read before its sender, which
-	// waits for a second, has turned to another host.
-	minPause = 700 * time.Millisecond
+	interval = 50 * time.Millisecond
+	// minGap is the time between two observations from which on the process counts as having stood still in between. A process that shares a
+	// processor is often late by a few tens of milliseconds.
+	minGap = 3 * interval
+	// window is how long a pause is remembered after its end: the time for which callers wait for an answer. What waited in the process is
+	// read in that time.
+	window = time.Second
+	// minLoggedPause is the shortest pause that is logged.
+	minLoggedPause = 500 * time.Millisecond
 )
 
 // Detector detects pauses of the process: it was stopped, its machine was suspended, or it got no processor. It is safe for concurrent use.
@@ -28,12 +33,14 @@
 	mu sync.Mutex
 	// observedAt is the time of the last observation.
 	observedAt time.Duration
-	// endedAt is when the last pause was noticed, if there was one.
-	endedAt time.Duration
-	paused  bool
+	// recent has the pauses that ended within window, oldest first.
+	recent  []pause
 	running bool
 }
 
+// pause is a time in which the process stood still.
+type pause struct{ endedAt, maxDuration time.Duration }
+
 // New returns a detector that finds no pauses before Run is called. clock returns the time since a fixed point; it must go on during pauses.
 func New(clock func() time.Duration) *Detector { return &Detector{clock: clock} }
 
@@ -43,25 +50,43 @@
 	d.observedAt, d.running = d.clock(), true
 	d.mu.Unlock()
 	for monotonic.Sleep(ctx, interval) {
-		d.SinceLast()
+		d.Now()
 	}
 }
 
-// SinceLast returns the time since the end of the last pause, or the longest duration if there was none. It notices a pause that has just
-// ended also if Run has not been scheduled since.
-func (d *Detector) SinceLast() time.Duration {
+// Now returns the time by the clock.
+func (d *Detector) Now() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.observe()
+}
+
+// EarliestSent returns the time by the clock at which something may have been sent that the process reads now, if the network did not hold it
+// up. It notices a pause that has just ended also if Run has not been scheduled since. What was sent before one of several pauses in a row may
+// have waited through all of them.
+func (d *Detector) EarliestSent() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.observe()
+	earliest := now
+	for _, p := range d.recent {
+		earliest -= p.maxDuration
+	}
+	return earliest
+}
+
+// observe reads the clock and records a pause that has ended. d.mu must be held.
+func (d *Detector) observe() time.Duration {
 	now := d.clock()
-	if gap := now - d.observedAt; d.running && gap >= minPause {
-		klog.InfoS("process stood still", "duration", gap)
-		d.endedAt, d.paused = now, true
+	if gap := now - d.observedAt; d.running && gap >= minGap {
+		d.recent = append(d.recent, pause{endedAt: now, maxDuration: gap})
+		if gap >= minLoggedPause {
+			klog.InfoS("process stood still", "duration", gap)
+		}
 	}
 	d.observedAt = now
-	if !d.paused {
-		return math.MaxInt64
-	}
-	return now - d.endedAt
+	d.recent = slices.DeleteFunc(d.recent, func(p pause) bool { return now-p.endedAt >= window })
+	return now
 }
 
 // BootClock returns the time since the machine was started. Unlike the monotonic clock of the runtime it counts suspensions.
--- a/pkg/registrar/errors.go
+++ b/pkg/registrar/errors.go
@@ -18,6 +18,8 @@
 	ErrUnknownTarget = merry.Sentinel("the target is not registered")
 	// ErrPaused means that this host stood still until just now, so that an order may have waited here for longer than its caller.
 	ErrPaused = merry.Sentinel("this host stood still, so the order may be outdated")
+	// ErrReadLate means that what an order refers to was read so late that its caller may have turned to another host before.
+	ErrReadLate = merry.Sentinel("the leader answered late, so the order may be outdated")
 	// ErrCallerLeft means that the caller closed its connection before its order was proposed.
 	ErrCallerLeft = merry.Sentinel("the caller left before its order was carried out")
 	// ErrOvertaken means that what the order refers to has changed since the order was received.
--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -10,73 +10,98 @@
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/internal/monotonic"
+	"almondrock.example/almondrock/pkg/internal/pauses"
 	"almondrock.example/almondrock/pkg/registry"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
 // Evacuations, and removals that do not state a start, have no number by which an older one could be told from a newer one. They may arrive
 // late: held up by a partition between their caller and this host or between this host and the leader, or by a pause of a host. Their caller
-// has then turned to another host and may have given newer orders there, which a late one must not undo. So this host refuses what may have
-// waited here, reads from the leader what the order refers to, and proposes the order with it. The registry refuses the order if that has
-// changed.
+// has then turned to another host and may have given newer orders there, which a late one must not undo. So this host reads from the leader
+// what the order refers to, and proposes the order with it. The registry refuses the order if that has changed. That protects only orders that
+// are given after the reading, so the order is refused unless the reading has ended while its caller certainly still waited: the time for which
+// the order may have waited here counts, and the time for the reading, by a clock that goes on during pauses.
 
 const (
-	// callerTimeout is the time after which callers give up an order and turn to another host.
-	callerTimeout = time.Second
+	// maxReadAge is the age of an order up to which it is known, once what it refers to has been read, that its caller has not turned to another
+	// host before. Callers do that after a second; the rest is for the way from the caller to this host.
+	maxReadAge = 900 * time.Millisecond
+	// maxAnnouncementAge is the age up to which an announcement is not late. Targets announce themselves again after a second without an answer.
+	maxAnnouncementAge = 600 * time.Millisecond
 	// closeDelay is how long the close of a caller's connection may arrive after an order that was held up on the way: a round trip with the
 	// caller and the time in which the server notices it.
 	closeDelay = 50 * time.Millisecond
 )
 
-// commitOrder commits an order without a number. command returns the command for what the registry held after the order was received.
-func (r *Registrar) commitOrder(
-	ctx context.Context, read *schemav1.CurrentRead, command func(*schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error),
-) error {
-	if err := r.checkNotPaused(); err != nil {
-		return err
+// orderCommitter commits orders without a number.
+type orderCommitter struct {
+	pauses *pauses.Detector
+	// read reads from the leader what the registry holds now.
+	read func(context.Context, *schemav1.CurrentRead) (*schemav1.CurrentReadAnswer, error)
+	// propose proposes a command until it is committed or ctx ends.
+	propose func(context.Context, *schemav1.RegistryCommand) (*schemav1.RegistryResult, error)
+}
+
+// orderCommand returns the command of an order for what the registry held after the order was received.
+type orderCommand func(*schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error)
+
+// commit commits an order. ctx ends when the caller leaves.
+func (c *orderCommitter) commit(ctx context.Context, read *schemav1.CurrentRead, command orderCommand) error {
+	sentAt := c.pauses.EarliestSent()
+	left := maxReadAge - (c.pauses.Now() - sentAt)
+	if left <= 0 {
+		return merry.Wrap(ErrPaused)
 	}
 	caller := ctx
 	ctx, cancel := context.WithTimeout(caller, proposalTimeout)
 	defer cancel()
-	current, err := retry(ctx, func(ctx context.Context) (*schemav1.CurrentReadAnswer, error) { return r.readCurrent(ctx, read) })
-	if err != nil {
+	readCtx, cancelRead := context.WithTimeout(ctx, left)
+	defer cancelRead()
+	current, err := retry(readCtx, func(ctx context.Context) (*schemav1.CurrentReadAnswer, error) { return c.read(ctx, read) })
+	switch {
+	case err != nil:
 		return err
+	case c.pauses.Now()-sentAt >= maxReadAge:
+		return merry.Wrap(ErrReadLate)
 	}
-	if !monotonic.Sleep(ctx, closeDelay) {
-		if caller.Err() != nil {
-			return merry.Wrap(ErrCallerLeft)
-		}
-		return merry.Wrap(ctx.Err())
+	if err := c.checkCallerWaits(ctx, caller); err != nil {
+		return err
 	}
 	order, err := command(current)
 	if err != nil {
 		return err
 	}
-	result, err := r.proposeWithRetry(ctx, order)
+	result, err := c.propose(ctx, order)
 	if err == nil && result.GetOvertaken() {
 		err = merry.Wrap(ErrOvertaken)
 	}
 	return err
 }
 
-// checkNotPaused returns ErrPaused while what this host reads may have waited here for longer than callers wait for an answer.
-func (r *Registrar) checkNotPaused() error {
-	if r.pauses.SinceLast() < callerTimeout {
-		return merry.Wrap(ErrPaused)
+// checkCallerWaits waits for closeDelay, and returns an error if the caller has left by then or ctx has ended. It waits once more if the host
+// stood still meanwhile, because it may not have read the end of the connection yet.
+func (c *orderCommitter) checkCallerWaits(ctx, caller context.Context) error {
+	for {
+		began := c.pauses.Now()
+		inTime := monotonic.Sleep(ctx, closeDelay)
+		switch {
+		case caller.Err() != nil:
+			return merry.Wrap(ErrCallerLeft)
+		case !inTime:
+			return merry.Wrap(ctx.Err())
+		case c.pauses.Now()-began < 2*closeDelay:
+			return nil
+		}
 	}
-	return nil
 }
 
 // checkWarm returns an error if the announcement of a target that is expected to be cold may be a late one, from before the target became
 // cold.
-func (r *Registrar) checkWarm(ctx context.Context) error {
-	if err := r.checkNotPaused(); err != nil {
-		return err
-	}
-	if !monotonic.Sleep(ctx, closeDelay) {
-		return merry.Wrap(ErrCallerLeft)
+func (c *orderCommitter) checkWarm(ctx context.Context) error {
+	if sentAt := c.pauses.EarliestSent(); c.pauses.Now()-sentAt >= maxAnnouncementAge {
+		return merry.Wrap(ErrPaused)
 	}
-	return nil
+	return c.checkCallerWaits(ctx, ctx)
 }
 
 // readCurrent reads from the leader what the registry holds now.
@@ -113,7 +138,7 @@
 // ErrOvertaken if the order may be older than others for the data centre; it has no effect then.
 func (r *Registrar) SetEvacuated(ctx context.Context, dataCentre string, evacuated bool) error {
 	number := uint64(0)
-	err := r.commitOrder(ctx, &schemav1.CurrentRead{DataCentre: dataCentre}, func(current *schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error) {
+	err := r.orders.commit(ctx, &schemav1.CurrentRead{DataCentre: dataCentre}, func(current *schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error) {
 		number = current.GetEvacuationOrder()
 		return &schemav1.RegistryCommand{Evacuation: &schemav1.EvacuationChange{
 			DataCentre: dataCentre, Out: evacuated, ExpectedOrder: proto.Uint64(number),
@@ -148,7 +173,7 @@
 		_, err = r.proposeWithRetry(ctx, &schemav1.RegistryCommand{ForgetTarget: removal})
 	} else {
 		removal.RemovedUnixMs = timeOfDay()
-		err = r.commitOrder(ctx, &schemav1.CurrentRead{Target: id}, func(current *schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error) {
+		err = r.orders.commit(ctx, &schemav1.CurrentRead{Target: id}, func(current *schemav1.CurrentReadAnswer) (*schemav1.RegistryCommand, error) {
 			known := current.GetTarget()
 			switch {
 			case known == nil:
--- a/pkg/registrar/orders_test.go
+++ b/pkg/registrar/orders_test.go
@@ -122,7 +122,7 @@
 		Expect(pausing.RemoveTarget(context.Background(), "t", 0)).To(MatchError(ErrPaused))
 		for range 12 {
 			now.Add(int64(100 * time.Millisecond))
-			pausing.pauses.SinceLast()
+			pausing.pauses.Now()
 		}
 		Expect(evacuate()).To(Succeed())
 	})
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -103,6 +103,7 @@
 	fullViews     registry.FullViews
 	registrations registrations
 	pauses        *pauses.Detector
+	orders        orderCommitter
 	ctx           context.Context
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
@@ -142,6 +143,7 @@
 		started: time.Now(), failed: make(chan error, 1), metrics: metrics.New(options.Name, options.DataCentre),
 		pauses: pauses.New(options.pauseClock),
 	}
+	r.orders = orderCommitter{pauses: r.pauses, read: r.readCurrent, propose: r.proposeWithRetry}
 	r.state.OnEvacuationOrder(r.logEvacuationOrder)
 	initialID := uint64(0)
 	if options.Bootstrap && slices.Contains(options.Seeds, options.PeerAddress) {
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -376,7 +376,7 @@
 	known, _ := r.state.Target(target.GetId())
 	if r.announcements.NeedsCommit(known, target, sequence, r.isUpToDate()) {
 		if known.GetColdExpected() && !target.GetCold() {
-			err = r.checkWarm(ctx)
+			err = r.orders.checkWarm(ctx)
 		}
 		if err == nil {
 			err = r.registrations.commit(ctx, target)
