rpc: a connection is idle only once its last response has been read to its end; idle ones can be closed

What callers see: a call fails with "connection lost" though its peer is sound, if its response takes longer to arrive than the idle time of the connection.

Cause: a connection counted as idle from the head of its last response on.

The idle time begins when the body has been read.

--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	netrpc "net/rpc"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -16,6 +18,9 @@
 	// *ConnectionLostError (may have run), *RemoteError, *SizeError (request too large, not sent), *EncodingError,
 	// *ClosedError.
 	Call(ctx context.Context, address, method string, request, response proto.Message) error
+	// CloseIdle closes the connections on which no response is awaited, so that the next calls dial. A connection may have gone silent
+	// without a notice.
+	CloseIdle()
 	// Close closes all connections and makes running calls fail.
 	Close() error
 }
@@ -115,6 +120,16 @@
 	return c.pools[address], nil
 }
 
+// CloseIdle implements Client.
+func (c *client) CloseIdle() {
+	c.mu.Lock()
+	pools := slices.Collect(maps.Values(c.pools))
+	c.mu.Unlock()
+	for _, pool := range pools {
+		pool.closeIdle()
+	}
+}
+
 // Close implements Client.
 func (c *client) Close() error {
 	c.mu.Lock()
--- a/pkg/rpc/clientcodec.go
+++ b/pkg/rpc/clientcodec.go
@@ -62,6 +62,7 @@
 	closed       bool
 	failure      error
 	outstanding  map[uint64]string // method by sequence number
+	readingBody  bool              // a response has been read up to its body
 	lastReceived time.Time         // time of the last data received, or of the first outstanding request if that is later
 	idleTimer    *time.Timer
 }
@@ -158,9 +159,7 @@
 		return &FrameError{Reason: "response has another method than its request"}
 	}
 	delete(c.outstanding, header.Sequence)
-	if len(c.outstanding) == 0 {
-		c.idleTimer.Reset(c.options.IdleTimeout)
-	}
+	c.readingBody = true
 	return nil
 }
 
@@ -170,12 +169,23 @@
 	if err != nil {
 		return c.fail(err)
 	}
+	c.endBody()
 	if response, ok := target.(*clientResponse); ok {
 		response.body = body
 	}
 	return nil
 }
 
+// endBody records that a response has been read completely.
+func (c *clientCodec) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingBody = false
+	if len(c.outstanding) == 0 && !c.closed {
+		c.idleTimer.Reset(c.options.IdleTimeout)
+	}
+}
+
 // extendReadDeadline sets the read deadline to StallTimeout from now and records that the peer made progress.
 func (c *clientCodec) extendReadDeadline() error {
 	c.mu.Lock()
@@ -213,7 +223,7 @@
 	// ends. It must end before the connection is marked as closed, because the next call dials as soon as it is.
 	c.endBackoff()
 	c.mu.Lock()
-	idle := len(c.outstanding) == 0 && !c.closed
+	idle := c.idle()
 	c.closed = c.closed || idle
 	c.mu.Unlock()
 	if idle {
@@ -224,9 +234,12 @@
 func (c *clientCodec) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.outstanding) == 0 && !c.closed
+	return c.idle()
 }
 
+// idle reports whether no response is outstanding or being read. c.mu must be held.
+func (c *clientCodec) idle() bool { return len(c.outstanding) == 0 && !c.readingBody && !c.closed }
+
 // Close implements rpc.ClientCodec.
 func (c *clientCodec) Close() error {
 	c.mu.Lock()
--- a/pkg/rpc/pool.go
+++ b/pkg/rpc/pool.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	netrpc "net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -204,6 +206,16 @@
 	return secure, nil
 }
 
+// closeIdle closes the connections on which no response is awaited.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	conns := slices.Collect(maps.Keys(p.conns))
+	p.mu.Unlock()
+	for _, conn := range conns {
+		conn.codec.closeIfIdle()
+	}
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
