entry: registry hosts are asked over new connections when two calls in a row had no answer

What callers see: requests of an entry host reach an evacuated data centre for longer than 5 s after the acknowledgement (EVAC), and it handles requests by an old configuration (CONFIG).

Cause: open connections may go silent for good while new ones work. A watch call waits for 4 s for a late answer, and at most three calls are pending. A host that had connections to all six registry hosts, as after an election, asked one after the other over connections that could not answer.

When two calls have had no answer, the connections without a call are closed, so that the next registry host is asked over a new one. A single slow call may be one that waits on a congested link, which the specs for late answers show; new connections could not be opened there in time.

--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -26,6 +26,9 @@
 	lateWatchTimeout = 4 * time.Second
 	// maxPendingWatches bounds the registry hosts that are asked at the same time.
 	maxPendingWatches = 3
+	// silentWatches is the number of calls without an answer from which on the connections to the other registry hosts may have gone silent too,
+	// so that these are asked over new ones. A single one may wait on a congested link, on which a new connection could not be opened in time.
+	silentWatches = 2
 	// watchRetryDelay is the pause after a failed call before another registry host is tried.
 	watchRetryDelay = 20 * time.Millisecond
 	// lookupTimeout is how long a seed is waited for that is asked for the registry hosts, before the next one is asked as well. It answers at
@@ -157,6 +160,9 @@
 		f.handle(ctx, result, result.address == address)
 	case <-timer.C:
 		klog.InfoS("registry host slow to answer", "address", address, "viewVersion", f.host.current().version, "pending", len(f.pending))
+		if len(f.pending) >= silentWatches {
+			f.host.registryClient.CloseIdle()
+		}
 		f.useNext()
 	case <-ctx.Done():
 	}
--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -217,6 +217,98 @@
 	})
 })
 
+// silenceableLink forwards connections to a registry host. Those that were opened before silence was called forward nothing any more, and
+// stay open.
+type silenceableLink struct {
+	address  string
+	silenced atomic.Int64
+	opened   atomic.Int64
+}
+
+func startSilenceableLink(to string) *silenceableLink {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	l := &silenceableLink{address: listener.Addr().String()}
+	forward := func(to, from net.Conn, number int64) {
+		defer to.Close()
+		buffer := make([]byte, 64<<10)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			if number <= l.silenced.Load() {
+				continue
+			}
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			caller, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			host, err := net.Dial("tcp", to)
+			if err != nil {
+				caller.Close()
+				continue
+			}
+			number := l.opened.Add(1)
+			go forward(host, caller, number)
+			go forward(caller, host, number)
+		}
+	}()
+	return l
+}
+
+func (l *silenceableLink) silence() { l.silenced.Store(l.opened.Load()) }
+
+var _ = Describe("Host whose open connections to all registry hosts go silent", func() {
+	// Guards against requests that reach an evacuated data centre for longer than evacuateMs, 5 s, because the registry hosts are asked one after
+	// the other over connections that will never answer (EVAC).
+	It("follows the registry over new connections before the machine counts as in touch again", func() {
+		const contactTime = 3 * time.Second
+		var version, age atomic.Int64
+		version.Store(7)
+		var links []*silenceableLink
+		hosts := func() []*schemav1.RegistryHost {
+			var list []*schemav1.RegistryHost
+			for i, link := range links {
+				list = append(list, &schemav1.RegistryHost{Name: fmt.Sprint("r", i), DataCentre: "n", PeerAddress: link.address})
+			}
+			return list
+		}
+		var asked [6]atomic.Int64
+		for i := range asked {
+			links = append(links, startSilenceableLink(startAgingRegistry(hosts, func() (uint64, time.Duration) {
+				asked[i].Add(1)
+				return uint64(version.Load()), time.Duration(age.Load())
+			})))
+		}
+		h := newHost([]string{links[0].address}, testTimeout)
+		Expect(h.Start()).To(Succeed())
+		DeferCleanup(h.Kill)
+		inForce := func() int64 { return int64(h.current().version) }
+		Eventually(inForce, "5s").Should(BeEquivalentTo(7))
+		// While no registry host is up to date, the host opens connections to all of them.
+		age.Store(int64(time.Minute))
+		for i := range asked {
+			Eventually(asked[i].Load, "10s").Should(BeNumerically(">", 0))
+		}
+		age.Store(0)
+		Eventually(h.viewAge, "5s").Should(BeNumerically("<", 500*time.Millisecond))
+		for _, link := range links {
+			link.silence()
+		}
+		version.Store(8)
+		Eventually(inForce, contactTime, "10ms").Should(BeEquivalentTo(8))
+	})
+})
+
 var _ = Describe("registryAddresses", func() {
 	// Guards against one registry host of a data centre that serves all its entry hosts while the others serve none (large deployment: two
 	// registry hosts and 24 entry hosts in each data centre).
