--- a/pkg/member/transport_test.go
+++ b/pkg/member/transport_test.go
@@ -27,6 +27,8 @@
 	return nil
 }
 
+func (c *blockingClient) CloseIdle() {}
+
 func (c *blockingClient) Close() error { return nil }
 
 var _ = Describe("Transport", func() {
--- a/pkg/registrar/powerloss_test.go
+++ b/pkg/registrar/powerloss_test.go
@@ -234,7 +234,7 @@
 		workers.Go(func() {
 			own := rand.New(rand.NewPCG(seed, 1))
 			for ctx.Err() == nil {
-				orderCtx, cancel := context.WithTimeout(ctx, callerTimeout)
+				orderCtx, cancel := context.WithTimeout(ctx, time.Second)
 				kind := []int{0, 0, 0, 1, 2, 2, 3, 3}[own.IntN(8)]
 				if g.order(orderCtx, hosts[own.IntN(len(hosts))], kind) != nil {
 					time.Sleep(20 * time.Millisecond)
