registrar: nothing is acknowledged before the group has enough voters for its fault tolerance

Callers would have seen an order (configuration, evacuation, drain, removal) acknowledged in the first second of a deployment that bears the loss of two registry hosts, and lost with two disks; and the group without a leader for good.

Cause: the group starts with the three seeds as voters, and a majority of them, two disks, was enough for an acknowledgement. With a tolerance of 2, five voters are wanted; the fourth and fifth are promoted up to a second later. Voters are never fewer than 2*tolerance afterwards, so only the first start is affected.

A host now takes its group as formed once the committed membership has more than 2*tolerance voters, which every majority has stored; it stays formed. Until then results of commands, reads of operators, repeated announcements and first views wait, and no keys are granted. A deployment with fewer hosts counts as formed 2.5 s after a host first knows a leader, once a process; a tolerance of 1 never waits.

Evidence: the new spec failed before: "first order, acknowledged after 361.443126ms, disks lost [0 2]: r0 reads the configuration: Timed out after 15.176s".

--- a/pkg/raft/ready.go
+++ b/pkg/raft/ready.go
@@ -161,6 +161,8 @@
 	FirstIndex, SnapshotIndex uint64
 	Now                       uint64
 	Members                   []MemberStatus
+	// CommittedVoters is the number of voters of the membership at CommitIndex. A majority of them has stored the log up to there.
+	CommittedVoters int
 }
 
 // Status returns the current status.
@@ -170,6 +172,11 @@
 		CommitIndex: n.log.commitIndex, AppliedIndex: n.log.appliedIndex, LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm(),
 		FirstIndex: n.log.firstIndex, SnapshotIndex: n.log.snapshot.GetIndex(), Now: n.now,
 	}
+	for _, member := range n.configurations.at(n.log.commitIndex).GetMembers() {
+		if !member.GetLearner() {
+			s.CommittedVoters++
+		}
+	}
 	for _, member := range n.membership().GetMembers() {
 		status := MemberStatus{Member: member}
 		if p := n.progress[member.GetId()]; p != nil {
--- a/pkg/registrar/errors.go
+++ b/pkg/registrar/errors.go
@@ -14,6 +14,8 @@
 	ErrOutdated = merry.Sentinel("the configuration of this host may be outdated")
 	// ErrNotJoined means that this host is not a member of the group yet.
 	ErrNotJoined = merry.Sentinel("this host has not joined the registry yet")
+	// ErrForming means that too few hosts have become voters of the group yet. The command may take effect.
+	ErrForming = merry.Sentinel("too few registry hosts have stored this yet")
 	// ErrUnknownTarget means that no target with this ID is registered.
 	ErrUnknownTarget = merry.Sentinel("the target is not registered")
 	// ErrPaused means that this host stood still until just now, so that an order may have waited here for longer than its caller.
--- a/pkg/registrar/freshness.go
+++ b/pkg/registrar/freshness.go
@@ -15,9 +15,10 @@
 const maxStateAge = 700 * time.Millisecond
 
 // stateAge returns the time since the state of this host certainly had everything that the group had committed, or replication.UnknownAge.
+// The age is unknown until the group has formed: the state may have commits that are lost with the disks of the hosts that may be lost.
 func (r *Registrar) stateAge() time.Duration {
 	replica := r.currentReplica()
-	if replica == nil {
+	if replica == nil || !r.forming.isFormed() {
 		return replication.UnknownAge
 	}
 	return replica.Status().StateAge
--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -58,7 +58,7 @@
 			l.manager.RecordResponses(load.GetService(), o.GetTarget(), o.GetCount(), time.Duration(o.GetTotalMs())*time.Millisecond)
 		}
 	}
-	if configuration := r.Configuration(); configuration != nil {
+	if configuration := r.Configuration(); configuration != nil && r.forming.isFormed() {
 		r.endExpectedCold(&l.expectedCold, configuration.Services)
 		l.manager.Step(l.ctx, configuration.Services)
 	}
--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -95,7 +95,7 @@
 	if replica == nil {
 		return nil, merry.Wrap(ErrNotJoined)
 	}
-	if err := replica.ReadBarrier(ctx); err != nil {
+	if err := r.completeState(ctx, replica); err != nil {
 		return nil, err
 	}
 	return r.current(read), nil
--- a/pkg/registrar/powerloss_test.go
+++ b/pkg/registrar/powerloss_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -450,4 +451,38 @@
 		Entry("of four hosts, of which one may be lost", 4, 1),
 		Entry("of six hosts, of which two may be lost", 6, 2),
 	)
+
+	// Guards against an order that is acknowledged while the group has only its first voters, of which two, that is all that stored it, are lost.
+	It("takes nothing that was acknowledged while the group forms", func() {
+		g := newLosableGroup(0, 6, 2)
+		defer g.killAll()
+		g.armAfter(1)
+		for i := range 3 {
+			g.start(i, true)
+		}
+		began, acknowledgedAfter := time.Now(), time.Duration(0)
+		ordered := sync.WaitGroup{}
+		ordered.Go(func() {
+			defer GinkgoRecover()
+			Eventually(g.order, "4s", "10ms").WithArguments(context.Background(), g.hosts[0], 0).Should(Succeed())
+			acknowledgedAfter = time.Since(began)
+		})
+		// All machines start within 0.3 s.
+		time.Sleep(300 * time.Millisecond)
+		for i := 3; i < 6; i++ {
+			g.start(i, true)
+		}
+		ordered.Wait()
+		// The two with the longest logs.
+		wiped := []int{0, 1, 2, 3, 4, 5}
+		lastIndex := map[int]uint64{}
+		for i, r := range g.hosts {
+			if r != nil && r.currentReplica() != nil {
+				lastIndex[i] = r.currentReplica().Status().LastIndex
+			}
+		}
+		slices.SortStableFunc(wiped, func(a, b int) int { return cmp.Compare(lastIndex[b], lastIndex[a]) })
+		g.killAll()
+		g.restart(fmt.Sprintf("first order, acknowledged after %v", acknowledgedAfter), wiped[:2])
+	})
 })
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -101,6 +101,7 @@
 	fullViews     registry.FullViews
 	registrations registrations
 	pauses        *pauses.Detector
+	forming       forming
 	ctx           context.Context
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
@@ -138,7 +139,7 @@
 		options: options, state: registry.NewState(), log: log, fresh: member.IsEmpty(replication.PersistentState(state)),
 		client: rpc.NewClient(rpc.ClientOptions{BackoffMax: maxDialBackOff}), server: rpc.NewServer(rpc.ServerOptions{}),
 		started: time.Now(), failed: make(chan error, 1), metrics: metrics.New(options.Name, options.DataCentre),
-		pauses: pauses.New(options.pauseClock),
+		pauses: pauses.New(options.pauseClock), forming: forming{formed: make(chan struct{})},
 	}
 	initialID := uint64(0)
 	if options.Bootstrap && slices.Contains(options.Seeds, options.PeerAddress) {
@@ -314,6 +315,7 @@
 	defer lead.end()
 	upToDateAt := time.Now()
 	knownLeader := uint64(0)
+	r.forming.update(replica.Status(), r.options.FaultTolerance)
 	for {
 		select {
 		case <-r.ctx.Done():
@@ -327,6 +329,7 @@
 			klog.InfoS("leader of the registry changed", "host", r.options.Name, "leader", status.LeaderAddress, "term", status.Term)
 			knownLeader = status.LeaderID
 		}
+		r.forming.update(status, r.options.FaultTolerance)
 		r.recordFreshness(status.StateAge)
 		if status.StateAge <= maxStateAge {
 			upToDateAt = time.Now()
@@ -360,7 +363,7 @@
 	}
 	status := replica.Status()
 	if status.Role == raft.Leader {
-		return proposeTo(ctx, replica, command)
+		return r.proposeTo(ctx, replica, command)
 	}
 	if status.LeaderAddress == "" {
 		return nil, merry.Wrap(ErrNoLeader)
@@ -372,8 +375,8 @@
 	return response.GetResult(), nil
 }
 
-// proposeTo commits a command on the replica of the leader and returns its result.
-func proposeTo(ctx context.Context, replica *replication.Replica, command *schemav1.RegistryCommand) (*schemav1.RegistryResult, error) {
+// proposeTo commits a command on the replica of the leader and returns its result once enough hosts have stored it.
+func (r *Registrar) proposeTo(ctx context.Context, replica *replication.Replica, command *schemav1.RegistryCommand) (*schemav1.RegistryResult, error) {
 	encoded, err := proto.Marshal(command)
 	if err != nil {
 		return nil, merry.Wrap(err)
@@ -382,6 +385,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := r.forming.await(ctx); err != nil {
+		return nil, err
+	}
 	result := &schemav1.RegistryResult{}
 	return result, merry.Wrap(proto.Unmarshal(applied, result))
 }
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -82,7 +82,7 @@
 	if replica.Status().Role != raft.Leader {
 		return nil, merry.Wrap(ErrNoLeader)
 	}
-	result, err := proposeTo(ctx, replica, request.GetCommand())
+	result, err := r.proposeTo(ctx, replica, request.GetCommand())
 	return &schemav1.RegistryForwarded{Result: result}, err
 }
 
@@ -91,7 +91,7 @@
 	if replica == nil {
 		return nil, merry.Wrap(ErrNotJoined)
 	}
-	if err := replica.ReadBarrier(ctx); err != nil {
+	if err := r.completeState(ctx, replica); err != nil {
 		return nil, err
 	}
 	newest := r.state.Routes()
@@ -386,6 +386,8 @@
 		if err != nil {
 			return "", err
 		}
+	} else if err := r.forming.await(ctx); err != nil {
+		return "", err
 	}
 	return r.nextAnnounceAddress(target), nil
 }
@@ -479,9 +481,17 @@
 	status := replica.Status()
 	switch {
 	case status.Role == raft.Leader:
-		return "", replica.ReadBarrier(ctx)
+		return "", r.completeState(ctx, replica)
 	case status.LeaderAddress == "":
 		return "", merry.Wrap(ErrNoLeader)
 	}
 	return status.LeaderAddress, nil
 }
+
+// completeState returns when the state of the leader has everything that was committed before the call, and enough hosts have stored it.
+func (r *Registrar) completeState(ctx context.Context, replica *replication.Replica) error {
+	if err := replica.ReadBarrier(ctx); err != nil {
+		return err
+	}
+	return r.forming.await(ctx)
+}
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -39,6 +39,8 @@
 	LastIndex         uint64
 	LastTerm          uint64
 	LastSnapshotIndex uint64
+	// CommittedVoters is the number of voters of the last membership that is known to be committed; see raft.Status.
+	CommittedVoters int
 	// Members is refreshed every raft.DefaultHeartbeatTicks ticks and when the leader, the term or the number of members
 	// changes.
 	Members []MemberStatus
@@ -71,7 +73,7 @@
 		ID: s.ID, Role: s.Role, Term: s.Term, LeaderID: s.LeaderID, LeaderAddress: r.driver.addressOf(s.LeaderID),
 		Sealed: s.Sealed, CommitIndex: s.CommitIndex, AppliedIndex: s.AppliedIndex,
 		LastIndex: s.LastIndex, LastTerm: s.LastTerm,
-		LastSnapshotIndex: s.SnapshotIndex, Members: members,
+		LastSnapshotIndex: s.SnapshotIndex, CommittedVoters: s.CommittedVoters, Members: members,
 	}
 }
 
