--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -59,7 +59,7 @@
 			l.manager.RecordResponses(load.GetService(), o.GetTarget(), o.GetCount(), time.Duration(o.GetTotalMs())*time.Millisecond)
 		}
 	}
-	if configuration := r.Configuration(); configuration != nil {
+	if configuration := r.Configuration(); configuration != nil && r.forming.isFormed() {
 		r.endExpectedCold(&l.expectedCold, configuration.Services)
 		l.manager.Step(l.ctx, configuration.Services)
 	}
@@ -81,10 +81,10 @@
 }
 
 // applyMembershipChange makes a membership change.
-func (l *leadership) applyMembershipChange(next membershipChange, reason string) {
+func (l *leadership) applyMembershipChange(next *membershipChange, reason string) {
 	ctx, cancel := context.WithTimeout(l.ctx, forwardTimeout)
 	defer cancel()
-	err := next(ctx, l.replica)
+	err := next.apply(ctx, l.replica)
 	klog.InfoS("change of members", "reason", reason, "err", err)
 }
 
--- a/pkg/registrar/powerloss_test.go
+++ b/pkg/registrar/powerloss_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"almondrock.example/almondrock/pkg/raft"
+	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/routes"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -450,4 +452,78 @@
 		Entry("of four hosts, of which one may be lost", 4, 1),
 		Entry("of six hosts, of which two may be lost", 6, 2),
 	)
+
+	// Guards against an order that is acknowledged while the group has only its first voters, of which two, that is all that stored it, are lost.
+	It("takes nothing that was acknowledged while the group forms", func() {
+		g := newLosableGroup(0, 6, 2)
+		defer g.killAll()
+		g.armAfter(1)
+		for i := range 3 {
+			g.start(i, true)
+		}
+		began, acknowledgedAfter := time.Now(), time.Duration(0)
+		ordered := sync.WaitGroup{}
+		ordered.Go(func() {
+			defer GinkgoRecover()
+			Eventually(g.order, "4s", "10ms").WithArguments(context.Background(), g.hosts[0], 0).Should(Succeed())
+			acknowledgedAfter = time.Since(began)
+		})
+		// All machines start within 0.3 s.
+		time.Sleep(300 * time.Millisecond)
+		for i := 3; i < 6; i++ {
+			g.start(i, true)
+		}
+		ordered.Wait()
+		// The two with the longest logs.
+		wiped := []int{0, 1, 2, 3, 4, 5}
+		lastIndex := map[int]uint64{}
+		for i, r := range g.hosts {
+			if r != nil && r.currentReplica() != nil {
+				lastIndex[i] = r.currentReplica().Status().LastIndex
+			}
+		}
+		slices.SortStableFunc(wiped, func(a, b int) int { return cmp.Compare(lastIndex[b], lastIndex[a]) })
+		g.killAll()
+		g.restart(fmt.Sprintf("first order, acknowledged after %v", acknowledgedAfter), wiped[:2])
+	})
+
+	// Guards against a group that elects no leader any more, because it depended on the new member of a host that lost its disk, and then lost it again.
+	It("takes nothing that was acknowledged when the host that just came back without its disk loses it again", func() {
+		g := newLosableGroup(0, 4, 1)
+		defer g.killAll()
+		for i := range g.hosts {
+			g.start(i, true)
+		}
+		Eventually(g.isWhole, groupRecovery, "10ms").Should(BeTrue())
+		g.armAfter(0)
+		Eventually(g.order, "4s", "10ms").WithArguments(context.Background(), g.hosts[0], 0).Should(Succeed())
+		members := g.hosts[g.leader()].currentReplica().Status().Members
+		lost := slices.IndexFunc(g.addresses, func(address string) bool {
+			return slices.ContainsFunc(members, func(m replication.MemberStatus) bool {
+				return m.Address == address && !m.Learner && address != g.addresses[g.leader()]
+			})
+		})
+		old := g.hosts[lost].id
+		g.kill(lost)
+		g.disks[lost] = newCachedFS()
+		g.start(lost, false)
+		// The first change of the voters: the old member is removed, or the new one is promoted.
+		Eventually(func() bool {
+			leader := g.leader()
+			if leader < 0 {
+				return false
+			}
+			removed, promoted := true, false
+			for _, m := range g.hosts[leader].currentReplica().Status().Members {
+				removed = removed && m.ID != old
+				promoted = promoted || m.ID == g.hosts[lost].id && !m.Learner
+			}
+			return removed || promoted
+		}, groupRecovery, "1ms").Should(BeTrue())
+		g.mu.Lock()
+		g.losePower()
+		g.mu.Unlock()
+		g.killAll()
+		g.restart("voter that lost its disk twice", []int{lost})
+	})
 })
