registrar: an order waits for 300 ms for the close of its caller's connection, which covers one lost packet

What callers see: an evacuated data centre gets requests again (EVAC) if an order was held up between the caller and the host for longer than the caller waited, and the close of the connection is lost once on its way after it. It then arrives 200 ms and a round trip later; orders waited for 50 ms.

Cause: an order that was held up in the network cannot be told from a new one before its caller's close has arrived. Its number is that of the newest order.

The platform prices evacuations from one second on, so an order that takes 0.3 s costs nothing. The wait goes on for 50 ms if it ended late, which replaces a whole second wait. What remains: a close that is lost twice, and a caller that keeps its connection open after it has given up.

--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -29,8 +29,12 @@
 	// maxAnnouncementAge is the age up to which an announcement is not late. Targets announce themselves again after a second without an answer.
 	maxAnnouncementAge = 600 * time.Millisecond
 	// closeDelay is how long the close of a caller's connection may arrive after an order that was held up on the way: a round trip with the
-	// caller and the time in which the server notices it.
-	closeDelay = 50 * time.Millisecond
+	// caller, the time after which a lost packet is sent again, 200 ms, and the time in which the server notices it. An order that takes up to
+	// a second costs nothing.
+	closeDelay = 300 * time.Millisecond
+	// maxCloseLate is how late the wait for the close may end before the host counts as having stood still in it, and closeReadTime the time
+	// for which it then waits on.
+	maxCloseLate, closeReadTime = 50 * time.Millisecond, 50 * time.Millisecond
 )
 
 // orderCommitter commits orders without a number.
@@ -78,21 +82,21 @@
 	return err
 }
 
-// checkCallerWaits waits for closeDelay, and returns an error if the caller has left by then or ctx has ended. It waits once more if the host
-// stood still meanwhile, because it may not have read the end of the connection yet.
+// checkCallerWaits waits for closeDelay, and returns an error if the caller has left by then or ctx has ended. It waits on if the host stood
+// still meanwhile, because it may not have read the end of the connection yet.
 func (c *orderCommitter) checkCallerWaits(ctx, caller context.Context) error {
-	for {
-		began := c.pauses.Now()
-		inTime := monotonic.Sleep(ctx, closeDelay)
-		switch {
-		case caller.Err() != nil:
-			return merry.Wrap(ErrCallerLeft)
-		case !inTime:
-			return merry.Wrap(ctx.Err())
-		case c.pauses.Now()-began < 2*closeDelay:
-			return nil
-		}
+	until := c.pauses.Now() + closeDelay
+	inTime := monotonic.Sleep(ctx, closeDelay)
+	if inTime && c.pauses.Now()-until >= maxCloseLate {
+		inTime = monotonic.Sleep(ctx, closeReadTime)
 	}
+	switch {
+	case caller.Err() != nil:
+		return merry.Wrap(ErrCallerLeft)
+	case !inTime:
+		return merry.Wrap(ctx.Err())
+	}
+	return nil
 }
 
 // checkWarm returns an error if the announcement of a target that is expected to be cold may be a late one, from before the target became
