--- a/pkg/registrar/orders_model_test.go
+++ b/pkg/registrar/orders_model_test.go
@@ -292,7 +292,7 @@
 			switch {
 			case wasHeld && closeLost:
 				time.Sleep(retransmissionTime + closeArrival)
-			case lateClose && !lateOrder:
+			case lateClose && !lateOrder && patience == time.Second:
 				h.awaitCallers()
 			}
 			h.awaitAwake()
@@ -341,7 +341,12 @@
 		}
 		acknowledged := false
 		for !acknowledged && time.Since(begun) < limit && time.Since(m.start) < 2*orderModelTime {
-			acknowledged = m.send(random, m.hosts[random.IntN(len(m.hosts))], dataCentre, out, time.Second)
+			patience := time.Second
+			if random.IntN(10) == 0 {
+				// This is the end of the time for which the operator repeats the order.
+				patience, limit = milliseconds(random, 50, 950), 0
+			}
+			acknowledged = m.send(random, m.hosts[random.IntN(len(m.hosts))], dataCentre, out, patience)
 			if !acknowledged {
 				time.Sleep(milliseconds(random, 20, 200))
 			}
