rpc: a connection whose response is still being read is not idle

The idle time began when the head of the last outstanding response had been read, so a connection was closed as idle when the body took longer than that (1 ms in the spec, 60 s in hosts).

A request is outstanding now until the body of its response has been read.

Before: "is not idle while the body of a response is being read" failed with "io: read/write on closed pipe". After: pkg/rpc passes with the race detector. The failure of the old spec itself did not come again in 12 starved runs of either code.

--- a/pkg/rpc/clientcodec.go
+++ b/pkg/rpc/clientcodec.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	if err := c.endRequest(header); err != nil {
+	if err := c.checkResponse(header); err != nil {
 		return c.fail(err)
 	}
 	if c.header == nil {
@@ -146,7 +146,7 @@
 	return nil
 }
 
-func (c *clientCodec) endRequest(header *schemav1.RpcHeader) error {
+func (c *clientCodec) checkResponse(header *schemav1.RpcHeader) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastReceived = time.Now()
@@ -157,25 +157,33 @@
 	case method != header.ServiceMethod:
 		return &FrameError{Reason: "response has another method than its request"}
 	}
-	delete(c.outstanding, header.Sequence)
-	if len(c.outstanding) == 0 {
-		c.idleTimer.Reset(c.options.IdleTimeout)
-	}
 	return nil
 }
 
-// ReadResponseBody implements rpc.ClientCodec.
+// ReadResponseBody implements rpc.ClientCodec. The request is outstanding until the whole response has been read, so that the connection
+// does not count as idle before.
 func (c *clientCodec) ReadResponseBody(target any) error {
 	body, err := c.reader.body(uint64(c.options.MaxMessageSize))
 	if err != nil {
 		return c.fail(err)
 	}
+	c.endRequest(c.header.Sequence)
 	if response, ok := target.(*clientResponse); ok {
 		response.body = body
 	}
 	return nil
 }
 
+func (c *clientCodec) endRequest(sequence uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastReceived = time.Now()
+	delete(c.outstanding, sequence)
+	if len(c.outstanding) == 0 && !c.closed {
+		c.idleTimer.Reset(c.options.IdleTimeout)
+	}
+}
+
 // extendReadDeadline sets the read deadline to StallTimeout from now and records that the peer made progress.
 func (c *clientCodec) extendReadDeadline() error {
 	c.mu.Lock()
