--- a/pkg/rpc/clientcodec.go
+++ b/pkg/rpc/clientcodec.go
@@ -62,7 +62,6 @@
 	closed       bool
 	failure      error
 	outstanding  map[uint64]string // method by sequence number
-	readingBody  bool              // a response has been read up to its body
 	lastReceived time.Time         // time of the last data received, or of the first outstanding request if that is later
 	idleTimer    *time.Timer
 }
@@ -134,7 +133,7 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	if err := c.endRequest(header); err != nil {
+	if err := c.checkResponse(header); err != nil {
 		return c.fail(err)
 	}
 	if c.header == nil {
@@ -147,7 +146,7 @@
 	return nil
 }
 
-func (c *clientCodec) endRequest(header *schemav1.RpcHeader) error {
+func (c *clientCodec) checkResponse(header *schemav1.RpcHeader) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastReceived = time.Now()
@@ -158,29 +157,28 @@
 	case method != header.ServiceMethod:
 		return &FrameError{Reason: "response has another method than its request"}
 	}
-	delete(c.outstanding, header.Sequence)
-	c.readingBody = true
 	return nil
 }
 
-// ReadResponseBody implements rpc.ClientCodec.
+// ReadResponseBody implements rpc.ClientCodec. The request is outstanding until the whole response has been read, so that the connection
+// does not count as idle before.
 func (c *clientCodec) ReadResponseBody(target any) error {
 	body, err := c.reader.body(uint64(c.options.MaxMessageSize))
 	if err != nil {
 		return c.fail(err)
 	}
-	c.endBody()
+	c.endRequest(c.header.Sequence)
 	if response, ok := target.(*clientResponse); ok {
 		response.body = body
 	}
 	return nil
 }
 
-// endBody records that a response has been read completely.
-func (c *clientCodec) endBody() {
+func (c *clientCodec) endRequest(sequence uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readingBody = false
+	c.lastReceived = time.Now()
+	delete(c.outstanding, sequence)
 	if len(c.outstanding) == 0 && !c.closed {
 		c.idleTimer.Reset(c.options.IdleTimeout)
 	}
@@ -223,7 +221,7 @@
 	// ends. It must end before the connection is marked as closed, because the next call dials as soon as it is.
 	c.endBackoff()
 	c.mu.Lock()
-	idle := c.idle()
+	idle := len(c.outstanding) == 0 && !c.closed
 	c.closed = c.closed || idle
 	c.mu.Unlock()
 	if idle {
@@ -234,12 +232,9 @@
 func (c *clientCodec) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle()
+	return len(c.outstanding) == 0 && !c.closed
 }
 
-// idle reports whether no response is outstanding or being read. c.mu must be held.
-func (c *clientCodec) idle() bool { return len(c.outstanding) == 0 && !c.readingBody && !c.closed }
-
 // Close implements rpc.ClientCodec.
 func (c *clientCodec) Close() error {
 	c.mu.Lock()
