registrar: a voter that lost its disk is removed before the new member of its host is promoted

Callers would have seen all registry hosts without a leader for good, after a host lost its disk, came back and lost it again within a second, with power lost elsewhere or not. For the tolerance that is the loss of one host.

Cause: the new member was promoted first. For up to some hundred milliseconds (two membership changes, 0.2 s apart) the group had four voters, two of them on that host, and needed three: both others and the new one. When the new one was lost too, the old and the new voter were gone, and two of four are no majority. With a tolerance of 2 the same host and one other were enough (three of six).

The old member never returns, since its host has a new ID, so the group is odd and needs as many of the others without it: its removal costs nothing. As before it waits until the new member has caught up. The removal goes first only while there are as many voters as wanted, so that a majority is always more hosts than may be lost; a voter that does not respond, which may have its disk, is still replaced first.

--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -80,10 +80,10 @@
 }
 
 // applyMembershipChange makes a membership change.
-func (l *leadership) applyMembershipChange(next membershipChange, reason string) {
+func (l *leadership) applyMembershipChange(next *membershipChange, reason string) {
 	ctx, cancel := context.WithTimeout(l.ctx, forwardTimeout)
 	defer cancel()
-	err := next(ctx, l.replica)
+	err := next.apply(ctx, l.replica)
 	klog.InfoS("change of members", "reason", reason, "err", err)
 }
 
--- a/pkg/registrar/membership.go
+++ b/pkg/registrar/membership.go
@@ -21,42 +21,49 @@
 	responsiveTimeout = time.Second
 )
 
-// membershipChange makes one membership change of the group.
-type membershipChange func(ctx context.Context, replica *replication.Replica) error
-
-func promote(id uint64) membershipChange {
-	return func(ctx context.Context, r *replication.Replica) error { return r.Promote(ctx, id) }
+// membershipChange is one membership change of the group: the promotion of a learner, or the removal of a member.
+type membershipChange struct {
+	id      uint64
+	promote bool
 }
 
-func remove(id uint64) membershipChange {
-	return func(ctx context.Context, r *replication.Replica) error { return r.Remove(ctx, id) }
+func promote(id uint64) *membershipChange { return &membershipChange{id: id, promote: true} }
+
+func remove(id uint64) *membershipChange { return &membershipChange{id: id} }
+
+// apply makes the change.
+func (c *membershipChange) apply(ctx context.Context, replica *replication.Replica) error {
+	if c.promote {
+		return replica.Promote(ctx, c.id)
+	}
+	return replica.Remove(ctx, c.id)
 }
 
 // voterCount returns the number of voters that still have a majority after the loss of faultTolerance hosts.
 func voterCount(faultTolerance int) int { return max(3, 2*faultTolerance+1) }
 
-// nextMembershipChange returns the next membership change and its reason, or nil. New voters are added before the voters that they
-// replace are removed, so that an acknowledged entry is always stored on as many disks as are needed. self is the ID of the leader,
-// which is never removed.
-func nextMembershipChange(members []replication.MemberStatus, self uint64, wanted int) (membershipChange, string) {
+// nextMembershipChange returns the next membership change and its reason, or nil. self is the ID of the leader, which is never removed.
+//
+// A voter that does not respond may still have its disk: its replacement is promoted first. A voter that has lost its disk is removed first.
+// It never responds again, so an odd group needs as many of the others for a majority without it. If the new member of the same host were
+// promoted first, the group would depend on it, and the loss of that one host would count twice.
+func nextMembershipChange(members []replication.MemberStatus, self uint64, wanted int) (*membershipChange, string) {
 	voters := 0
 	for _, m := range members {
 		if !m.Learner {
 			voters++
 		}
 	}
-	// If a voter has lost its disk, the learner on the same host is promoted before any other change, so that the host has a voter
-	// again as soon as possible.
 	for _, m := range members {
-		if old := findReplaced(members, m); old != nil {
-			switch {
-			case old.Learner:
-				return remove(old.ID), "learner without its disk"
-			case m.Learner && m.CaughtUp:
-				return promote(m.ID), "replaces a voter that lost its disk"
-			case !m.Learner:
-				return remove(old.ID), "voter that lost its disk"
-			}
+		old := findReplaced(members, m)
+		switch {
+		case old == nil, m.Learner && !m.CaughtUp && !old.Learner:
+		case old.Learner:
+			return remove(old.ID), "learner without its disk"
+		case !m.Learner, voters >= wanted:
+			return remove(old.ID), "voter that lost its disk"
+		default:
+			return promote(m.ID), "replaces a voter that lost its disk"
 		}
 	}
 	spare := spareLearner(members)
--- a/pkg/registrar/powerloss_test.go
+++ b/pkg/registrar/powerloss_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"almondrock.example/almondrock/pkg/raft"
+	"almondrock.example/almondrock/pkg/replication"
 	"almondrock.example/almondrock/pkg/routes"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
@@ -485,4 +486,44 @@
 		g.killAll()
 		g.restart(fmt.Sprintf("first order, acknowledged after %v", acknowledgedAfter), wiped[:2])
 	})
+
+	// Guards against a group that elects no leader any more, because it depended on the new member of a host that lost its disk, and then lost it again.
+	It("takes nothing that was acknowledged when the host that just came back without its disk loses it again", func() {
+		g := newLosableGroup(0, 4, 1)
+		defer g.killAll()
+		for i := range g.hosts {
+			g.start(i, true)
+		}
+		Eventually(g.isWhole, groupRecovery, "10ms").Should(BeTrue())
+		g.armAfter(0)
+		Eventually(g.order, "4s", "10ms").WithArguments(context.Background(), g.hosts[0], 0).Should(Succeed())
+		members := g.hosts[g.leader()].currentReplica().Status().Members
+		lost := slices.IndexFunc(g.addresses, func(address string) bool {
+			return slices.ContainsFunc(members, func(m replication.MemberStatus) bool {
+				return m.Address == address && !m.Learner && address != g.addresses[g.leader()]
+			})
+		})
+		old := g.hosts[lost].id
+		g.kill(lost)
+		g.disks[lost] = newCachedFS()
+		g.start(lost, false)
+		// The first change of the voters: the old member is removed, or the new one is promoted.
+		Eventually(func() bool {
+			leader := g.leader()
+			if leader < 0 {
+				return false
+			}
+			removed, promoted := true, false
+			for _, m := range g.hosts[leader].currentReplica().Status().Members {
+				removed = removed && m.ID != old
+				promoted = promoted || m.ID == g.hosts[lost].id && !m.Learner
+			}
+			return removed || promoted
+		}, groupRecovery, "1ms").Should(BeTrue())
+		g.mu.Lock()
+		g.losePower()
+		g.mu.Unlock()
+		g.killAll()
+		g.restart("voter that lost its disk twice", []int{lost})
+	})
 })
