wal: each start makes the directory of the log durable

A host could have come back from a loss of power without its log, with all that it had acknowledged: its directory was synced to its parent only by the process that created it. If that one was killed, or the sync failed, the next start found the directory and skipped the sync, and nothing else syncs the parent.

Found by reading. The sync takes one disk sync a start.

--- a/pkg/wal/fs.go
+++ b/pkg/wal/fs.go
@@ -46,15 +46,17 @@
 )
 
 // NewDirFS returns an FS for the directory at path, which it creates with its parents if it does not exist.
-func NewDirFS(path string) (FS, error) {
+func NewDirFS(path string) (FS, error) { return newDirFS(path, syncDir) }
+
+// newDirFS is NewDirFS with the function that syncs a directory. The parent is synced even if the directory exists, because an earlier
+// process may have ended, or failed, between creating the directory and the sync.
+func newDirFS(path string, syncDir func(path string) error) (FS, error) {
 	path = filepath.Clean(path)
-	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
-		if err := os.MkdirAll(path, dirMode); err != nil {
-			return nil, wrap(&IOError{Op: "create", File: path, Cause: err})
-		}
-		if err := syncDir(filepath.Dir(path)); err != nil {
-			return nil, wrap(&IOError{Op: "sync", File: filepath.Dir(path), Cause: err})
-		}
+	if err := os.MkdirAll(path, dirMode); err != nil {
+		return nil, wrap(&IOError{Op: "create", File: path, Cause: err})
+	}
+	if err := syncDir(filepath.Dir(path)); err != nil {
+		return nil, wrap(&IOError{Op: "sync", File: filepath.Dir(path), Cause: err})
 	}
 	return &dirFS{path: path}, nil
 }
