--- a/pkg/registrar/cachedfs_test.go
+++ b/pkg/registrar/cachedfs_test.go
@@ -26,6 +26,8 @@
 	mu             sync.Mutex
 	files, durable map[string]*cachedInode
 	off, full      bool
+	// renamed, if set, is called with the new name after a file was renamed.
+	renamed func(name string)
 }
 
 // cachedInode is the content of a file. The first synced bytes are on the disk; writes has the ends of the later writes.
@@ -151,11 +153,24 @@
 }
 
 func (f *cachedFS) Rename(from, to string) error {
-	return f.do(func() error {
+	var renamed func(string)
+	err := f.do(func() error {
 		f.files[to] = f.files[from]
 		delete(f.files, from)
+		renamed = f.renamed
 		return nil
 	})
+	if renamed != nil {
+		renamed(to)
+	}
+	return err
+}
+
+// onRename sets the function that is called after a file was renamed.
+func (f *cachedFS) onRename(renamed func(name string)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.renamed = renamed
 }
 
 func (f *cachedFS) Remove(name string) error {
--- a/pkg/registrar/powerloss_test.go
+++ b/pkg/registrar/powerloss_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -148,7 +149,7 @@
 	}
 	record(&g.acked)
 	if g.loseAfter--; g.loseAfter == 0 {
-		g.losePower()
+		g.losePowerLocked()
 	}
 }
 
@@ -159,8 +160,20 @@
 	g.dark, g.lost, g.loseAfter = false, make(chan struct{}), acknowledgements
 }
 
-// losePower drops all page caches. g.mu must be held.
+func (g *losableGroup) isDark() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dark
+}
+
 func (g *losableGroup) losePower() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.losePowerLocked()
+}
+
+// losePowerLocked drops all page caches. g.mu must be held.
+func (g *losableGroup) losePowerLocked() {
 	if g.dark {
 		return
 	}
@@ -306,6 +319,25 @@
 		disk.setFull(false)
 		return []int{i}, nil
 	}},
+	{"snapshot", func(g *losableGroup) ([]int, []int) {
+		// The power is lost between the rename of a snapshot and a little after the removal of the old segments.
+		delay := time.Duration(g.random.IntN(4000)) * time.Microsecond
+		for _, disk := range g.disks {
+			disk.onRename(func(name string) {
+				if strings.HasPrefix(name, "snap-") {
+					time.AfterFunc(delay, g.losePower)
+				}
+			})
+		}
+		r := g.hosts[g.pick(false)]
+		for deadline := time.Now().Add(orderTimeout); !g.isDark() && time.Now().Before(deadline); {
+			ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+			// It may be refused, or its acknowledgement may come too late to count.
+			_ = g.order(ctx, r, 1)
+			cancel()
+		}
+		return nil, nil
+	}},
 }
 
 // round gives orders in a situation until all machines lose power, as many of them with their disks as may be lost, and starts them again.
@@ -520,9 +552,7 @@
 			}
 			return removed || promoted
 		}, groupRecovery, "1ms").Should(BeTrue())
-		g.mu.Lock()
 		g.losePower()
-		g.mu.Unlock()
 		g.killAll()
 		g.restart("voter that lost its disk twice", []int{lost})
 	})
