--- a/pkg/registrar/membership_test.go
+++ b/pkg/registrar/membership_test.go
@@ -11,14 +11,14 @@
 )
 
 var _ = Describe("Membership changes", func() {
-	voter := func(id uint64, address string, sinceLastResponse time.Duration) replication.MemberStatus {
-		return replication.MemberStatus{ID: id, Address: address, SinceLastResponse: sinceLastResponse, CaughtUp: true}
+	voter := func(id uint64, address string) replication.MemberStatus {
+		return replication.MemberStatus{ID: id, Address: address, CaughtUp: true}
 	}
 	learner := func(id uint64, address string, caughtUp bool) replication.MemberStatus {
 		return replication.MemberStatus{ID: id, Address: address, Learner: true, CaughtUp: caughtUp}
 	}
 	three := func() []replication.MemberStatus {
-		return []replication.MemberStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0)}
+		return []replication.MemberStatus{voter(1, "a"), voter(2, "b"), voter(3, "c")}
 	}
 
 	It("keeps as many voters as the fault tolerance needs, and the other members as learners", func() {
@@ -50,7 +50,7 @@
 			wanted := voterCount(faultTolerance)
 			var members []replication.MemberStatus
 			for i := range hosts {
-				m := voter(uint64(i+1), string(rune('a'+i)), 0)
+				m := voter(uint64(i+1), string(rune('a'+i)))
 				m.Learner = i >= wanted
 				if slices.Contains(lost, m.Address) {
 					m.SinceLastResponse = voterTimeout / 2
