grants: what is known of a range is kept until the call in progress has ended

When a command of an earlier leader changed a range while a call for it was in progress, the record of the range was replaced at once, and the call then recorded its result in the new record, without a lock. A grant under the old fence could so count as one of the new owner under the new fence, or a release shorten how long the new one is taken to be valid.

Change: the record is replaced after the call; the time until which another leader's grants are taken to be valid counts from then.

--- a/pkg/grants/manager.go
+++ b/pkg/grants/manager.go
@@ -214,17 +214,16 @@
 		record = &inherited
 		m.records[key] = record
 	}
-	if r.GetFence() < record.fence {
-		// The table was read before the latest change of this range.
+	if record.callInProgress || r.GetFence() < record.fence {
+		// A call in progress records its result under the fence with which it began. With a lower fence, the table was read before the
+		// latest change of this range.
 		return nil
 	}
 	if r.GetFence() > record.fence {
 		// Another leader committed this fence and may have granted keys with it.
-		inherited := inheritedRecord(r.GetFence(), now)
-		inherited.callInProgress = record.callInProgress
-		*record = inherited
+		*record = inheritedRecord(r.GetFence(), now)
 	}
-	if record.callInProgress || (dueOnly && now < record.nextCallAt) {
+	if dueOnly && now < record.nextCallAt {
 		return nil
 	}
 	record.callInProgress = true
--- a/pkg/grants/manager_test.go
+++ b/pkg/grants/manager_test.go
@@ -254,6 +254,22 @@
 		h.run(time.Second)
 	})
 
+	// Guards against the result of a call that counts as one under a later fence, and a data race, when an earlier proposal changes the range.
+	It("keeps what it knows of a range until the call in progress has ended", func() {
+		h := newHarness(owners(2))
+		h.run(5 * time.Second)
+		r := h.state.Keys("files").GetRanges()[0]
+		record := h.manager.beginCall("files", r, false)
+		Expect(record).NotTo(BeNil())
+		changed := proto.Clone(r).(*schemav1.KeyRange)
+		changed.Fence += 100
+		Expect(h.manager.beginCall("files", changed, false)).To(BeNil())
+		Expect(record.fence).To(Equal(r.GetFence()))
+		h.manager.endCall(record, 0)
+		Expect(h.manager.beginCall("files", changed, false).phase).To(Equal(phaseInherited))
+		Expect(record.fence).To(Equal(changed.GetFence()))
+	})
+
 	It("moves the keys of an unreachable target only after its grants have certainly expired, and then within seconds", func() {
 		h := newHarness(owners(3))
 		h.run(5 * time.Second)
