--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -9,7 +9,6 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
-	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/internal/pauses"
 	"almondrock.example/almondrock/pkg/registry"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -40,6 +39,8 @@
 // orderCommitter commits orders without a number.
 type orderCommitter struct {
 	pauses *pauses.Detector
+	// sleep is monotonic.Sleep. The model of orders lets it return only when the host does not stand still.
+	sleep func(context.Context, time.Duration) bool
 	// read reads from the leader what the registry holds now.
 	read func(context.Context, *schemav1.CurrentRead) (*schemav1.CurrentReadAnswer, error)
 	// propose proposes a command until it is committed or ctx ends.
@@ -86,9 +87,9 @@
 // still meanwhile, because it may not have read the end of the connection yet.
 func (c *orderCommitter) checkCallerWaits(ctx, caller context.Context) error {
 	until := c.pauses.Now() + closeDelay
-	inTime := monotonic.Sleep(ctx, closeDelay)
+	inTime := c.sleep(ctx, closeDelay)
 	if inTime && c.pauses.Now()-until >= maxCloseLate {
-		inTime = monotonic.Sleep(ctx, closeReadTime)
+		inTime = c.sleep(ctx, closeReadTime)
 	}
 	switch {
 	case caller.Err() != nil:
--- a/pkg/registrar/orders_model_test.go
+++ b/pkg/registrar/orders_model_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/internal/pauses"
 	"almondrock.example/almondrock/pkg/registry"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -124,7 +125,7 @@
 	p := &modelProcess{host: h}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	detector := pauses.New(h.clock)
-	p.committer = &orderCommitter{pauses: detector, read: p.read, propose: p.propose}
+	p.committer = &orderCommitter{pauses: detector, sleep: p.sleep, read: p.read, propose: p.propose}
 	h.model.callers.Go(func() { detector.Run(p.ctx) })
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -209,7 +210,7 @@
 			return
 		}
 		var value T
-		var err error = ErrNoLeader
+		err := ErrNoLeader
 		if p.host.model.hasLeader() {
 			value, err = f()
 		}
@@ -233,6 +234,13 @@
 	}
 }
 
+// sleep is like monotonic.Sleep of a process that may stand still meanwhile.
+func (p *modelProcess) sleep(ctx context.Context, d time.Duration) bool {
+	monotonic.Sleep(ctx, d)
+	p.host.awaitAwake()
+	return ctx.Err() == nil
+}
+
 func (p *modelProcess) read(ctx context.Context, read *schemav1.CurrentRead) (*schemav1.CurrentReadAnswer, error) {
 	return call(ctx, p, func() (*schemav1.CurrentReadAnswer, error) {
 		number := p.host.model.state.EvacuationOrder(read.GetDataCentre())
@@ -511,7 +519,7 @@
 			offset.Add(int64(c.paused))
 			proposed := false
 			committer := &orderCommitter{
-				pauses: detector,
+				pauses: detector, sleep: monotonic.Sleep,
 				read: func(context.Context, *schemav1.CurrentRead) (*schemav1.CurrentReadAnswer, error) {
 					time.Sleep(c.reading)
 					return &schemav1.CurrentReadAnswer{}, nil
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -19,6 +19,7 @@
 
 	"almondrock.example/almondrock/pkg/grants"
 	"almondrock.example/almondrock/pkg/guard"
+	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/internal/pauses"
 	"almondrock.example/almondrock/pkg/member"
 	"almondrock.example/almondrock/pkg/metrics"
@@ -144,7 +145,7 @@
 		started: time.Now(), failed: make(chan error, 1), metrics: metrics.New(options.Name, options.DataCentre),
 		pauses: pauses.New(options.pauseClock), forming: forming{formed: make(chan struct{})},
 	}
-	r.orders = orderCommitter{pauses: r.pauses, read: r.readCurrent, propose: r.proposeWithRetry}
+	r.orders = orderCommitter{pauses: r.pauses, sleep: monotonic.Sleep, read: r.readCurrent, propose: r.proposeWithRetry}
 	r.state.OnEvacuationOrder(r.logEvacuationOrder)
 	initialID := uint64(0)
 	if options.Bootstrap && slices.Contains(options.Seeds, options.PeerAddress) {
