--- a/pkg/registrar/powerloss_test.go
+++ b/pkg/registrar/powerloss_test.go
@@ -56,6 +56,29 @@
 	targets   map[string]schemav1.Life
 }
 
+// callGate lets calls to a host in until the host is killed.
+type callGate struct {
+	mu     sync.RWMutex
+	closed bool
+}
+
+// call makes a call unless the host was killed.
+func (c *callGate) call(f func() error) error {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.closed {
+		return errPowerLost
+	}
+	return f()
+}
+
+// close waits for the calls that are in.
+func (c *callGate) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+}
+
 // losableGroup is a group of registry hosts on machines that lose power and disks.
 type losableGroup struct {
 	seed      uint64
@@ -64,6 +87,7 @@
 	addresses []string
 	disks     []*cachedFS
 	hosts     []*Registrar
+	gates     []*callGate
 
 	mu    sync.Mutex
 	acked acknowledged
@@ -80,7 +104,7 @@
 func newLosableGroup(seed uint64, hosts, tolerance int) *losableGroup {
 	GinkgoHelper()
 	g := &losableGroup{
-		seed: seed, random: rand.New(rand.NewPCG(seed, 38)), tolerance: tolerance, hosts: make([]*Registrar, hosts),
+		seed: seed, random: rand.New(rand.NewPCG(seed, 38)), tolerance: tolerance, hosts: make([]*Registrar, hosts), gates: make([]*callGate, hosts),
 		acked: acknowledged{evacuated: map[string]bool{}, targets: map[string]schemav1.Life{}},
 	}
 	for range hosts {
@@ -108,7 +132,7 @@
 	}
 	Expect(err).NotTo(HaveOccurred(), "host %d does not start", i)
 	Expect(r.Start()).To(Succeed())
-	g.hosts[i] = r
+	g.hosts[i], g.gates[i] = r, &callGate{}
 }
 
 // kill ends the host i without a planned stop.
@@ -120,6 +144,7 @@
 	g.hosts[i] = nil
 	r.cancel()
 	_ = r.server.Close()
+	g.gates[i].close()
 	r.tasks.Wait()
 	_ = r.client.Close()
 }
@@ -241,17 +266,19 @@
 	return nil
 }
 
-// giveOrders gives orders to all hosts until ctx ends. The hosts must not change meanwhile, except that they may be killed.
-func (g *losableGroup) giveOrders(ctx context.Context, hosts []*Registrar, random *rand.Rand) *sync.WaitGroup {
+// giveOrders gives orders to all hosts until ctx ends. Hosts that are killed meanwhile refuse them; those that are started get none.
+func (g *losableGroup) giveOrders(ctx context.Context) *sync.WaitGroup {
+	hosts, gates := slices.Clone(g.hosts), slices.Clone(g.gates)
 	workers := &sync.WaitGroup{}
 	for range 3 {
-		seed := random.Uint64()
+		seed := g.random.Uint64()
 		workers.Go(func() {
 			own := rand.New(rand.NewPCG(seed, 1))
 			for ctx.Err() == nil {
 				orderCtx, cancel := context.WithTimeout(ctx, time.Second)
 				kind := []int{0, 0, 0, 1, 2, 2, 3, 3}[own.IntN(8)]
-				if g.order(orderCtx, hosts[own.IntN(len(hosts))], kind) != nil {
+				i := own.IntN(len(hosts))
+				if gates[i].call(func() error { return g.order(orderCtx, hosts[i], kind) }) != nil {
 					time.Sleep(20 * time.Millisecond)
 				}
 				cancel()
@@ -346,7 +373,7 @@
 	g.armAfter(0)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	workers := g.giveOrders(ctx, slices.Clone(g.hosts), g.random)
+	workers := g.giveOrders(ctx)
 	lost, wiped := before(g)
 	g.mu.Lock()
 	g.loseAfter = 1 + g.random.IntN(20)
