registry: a change of a range that was split since it was decided has no effect

Callers would see keys with two owners for good. A leader splits a range; the next one, or the same after a change of leaders, has decided a change of the whole range before that split was applied. The parts keep the fence of the whole range and the first part its first key, so the change was applied to that part with the old end of the range: two entries for the same keys, which then get different owners. Raising the fence of each range after a change of leaders makes this likelier.

Cause: a range was identified by its first key and its fence only. The specs failed before with "ranges: [last:99 owner:y fence:2 first:50 last:99 owner:x fence:1]" (three ways) and, through the manager, with overlapping parts after a change of leaders. A change whose range does not end where the present one ends is not applied now; the manager decides again from the table of then. pkg/registry and pkg/grants pass with the race detector.

--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -452,6 +452,10 @@
 	if at < 0 || change.GetRange() == nil {
 		return false
 	}
+	// The parts of a split keep the fence of the whole range, so the fence does not tell that the range was split after the change was decided.
+	if change.GetRange().GetLast() != table.GetRanges()[at].GetLast() {
+		return false
+	}
 	next := proto.Clone(change.GetRange()).(*schemav1.KeyRange)
 	if next.GetFence() == 0 {
 		s.lastFence++
