--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -270,7 +270,7 @@
 var _ = Describe("Host whose open connections to all registry hosts go silent", func() {
 	// Guards against requests that reach an evacuated data centre for longer than evacuateMs, 5 s, because the registry hosts are asked one after
 	// the other over connections that will never answer (EVAC).
-	It("follows the registry over new connections before the machine counts as in touch again", func() {
+	It("follows the registry over new connections within contactMs, 3 s", func() {
 		const contactTime = 3 * time.Second
 		var version, age atomic.Int64
 		version.Store(7)
--- a/pkg/registrar/forming.go
+++ b/pkg/registrar/forming.go
@@ -24,7 +24,8 @@
 	return committedVoters > 2*faultTolerance || led > formingTimeout
 }
 
-// forming tells when the group has formed. It stays formed, because voters are only removed when there are more than wanted.
+// forming tells when the group has formed. It stays formed: a voter that lost its disk is removed before its successor is promoted, but the
+// majority of the others is still more hosts than may be lost.
 type forming struct {
 	formed chan struct{}
 	// ledSince is the time at which the host first knew a leader.
