--- a/pkg/registrar/orders.go
+++ b/pkg/registrar/orders.go
@@ -53,9 +53,10 @@
 // commit commits an order. ctx ends when the caller leaves.
 func (c *orderCommitter) commit(ctx context.Context, read *schemav1.CurrentRead, command orderCommand) error {
 	sentAt := c.pauses.EarliestSent()
-	left := maxReadAge - (c.pauses.Now() - sentAt)
+	waited := c.pauses.Now() - sentAt
+	left := maxReadAge - waited
 	if left <= 0 {
-		return merry.Wrap(ErrPaused)
+		return merry.Wrap(ErrPaused, merry.AppendMessagef("for %v of the last second", waited))
 	}
 	caller := ctx
 	ctx, cancel := context.WithTimeout(caller, proposalTimeout)
@@ -103,8 +104,8 @@
 // checkWarm returns an error if the announcement of a target that is expected to be cold may be a late one, from before the target became
 // cold.
 func (c *orderCommitter) checkWarm(ctx context.Context) error {
-	if sentAt := c.pauses.EarliestSent(); c.pauses.Now()-sentAt >= maxAnnouncementAge {
-		return merry.Wrap(ErrPaused)
+	if waited := c.pauses.Now() - c.pauses.EarliestSent(); waited >= maxAnnouncementAge {
+		return merry.Wrap(ErrPaused, merry.AppendMessagef("for %v of the last second", waited))
 	}
 	return c.checkCallerWaits(ctx, ctx)
 }
