registry: a removal without a start is overtaken by a later start of the target

Cause: a removal that states no start refers to the start that is registered when it is received. The target had started again, and the announcement of the new start was held up: it was committed after that reading and before the removal (23:29:09.943 "announcement committed ... context canceled" of the new start, 23:29:10.349 "target left" of the earlier one, err=null). A removal of an earlier start than the registered has no effect, but it was acknowledged.

The removal is refused now as overtaken (503), and its caller repeats it. The new spec failed before: "without a start, when the earlier one was registered: Expected false to be true". Stated starts are acknowledged as before.

--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -174,7 +174,7 @@
 	case len(c.GetExpectedColdOver()) > 0:
 		return s.applyExpectedColdOver(c.GetExpectedColdOver(), version)
 	case c.GetForgetTarget() != nil:
-		return s.applyForgetTarget(c.GetForgetTarget(), version)
+		return s.applyForgetTarget(c.GetForgetTarget(), version, result)
 	case c.GetEvacuation() != nil:
 		return s.applyEvacuation(c.GetEvacuation(), version, result)
 	case c.GetKeys() != nil:
@@ -324,9 +324,13 @@
 
 // applyForgetTarget marks a target as gone. A start time of 0 stands for the start that is registered. A start that is not registered yet is
 // recorded as gone too, because its announcement may still be on the way.
-func (s *State) applyForgetTarget(target *schemav1.Registration, version uint64) bool {
+//
+// A removal without a start that refers to an earlier one than the registered is overtaken: it may have meant the process that was registered
+// since the removal was received.
+func (s *State) applyForgetTarget(target *schemav1.Registration, version uint64, result *schemav1.RegistryResult) bool {
 	old := s.targets[target.GetId()]
 	started := cmp.Or(target.GetStartedUnixMs(), old.GetStartedUnixMs())
+	result.Overtaken = target.GetRemovedUnixMs() > 0 && started < old.GetStartedUnixMs()
 	ended := old.GetLife() == schemav1.Life_LIFE_GONE && started == old.GetStartedUnixMs() && target.GetRemovedUnixMs() <= old.GetRemovedUnixMs()
 	if started == 0 || started < old.GetStartedUnixMs() || ended {
 		return false
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -158,6 +158,24 @@
 		Expect(s.Targets()).To(HaveLen(1))
 	})
 
+	// Guards against an acknowledged removal without effect, of a process that was registered after the removal was received (DRAIN, soak seed 901).
+	It("are overtaken if they state no start and a later start has been registered since", func() {
+		s := NewState()
+		apply(s, &schemav1.RegistryCommand{Registration: registration("t", 5, schemav1.Life_LIFE_READY)})
+		apply(s, &schemav1.RegistryCommand{Registration: registration("t", 6, schemav1.Life_LIFE_READY)})
+		remove := func(started, removedAt int64) bool {
+			return apply(s, &schemav1.RegistryCommand{ForgetTarget: &schemav1.Registration{
+				Id: "t", StartedUnixMs: started, RemovedUnixMs: removedAt,
+			}}).GetOvertaken()
+		}
+		Expect(remove(5, 1000)).To(BeTrue(), "without a start, when the earlier one was registered")
+		Expect(remove(5, 0)).To(BeFalse(), "of the earlier start")
+		Expect(s.Targets()).To(HaveLen(1))
+		Expect(remove(6, 1000)).To(BeFalse())
+		Expect(s.Targets()).To(BeEmpty())
+		Expect(remove(6, 1000)).To(BeFalse(), "repeated")
+	})
+
 	// Guards against a target that was started again, left by a removal without a start before its first announcement arrived, and gets requests
 	// after that (DRAIN, soak seed 103).
 	It("do not register for some time a start that a removal without a start may have meant", func() {
