registry: a removal also holds for announcements that were proposed shortly before it

Cause: a removal without a start also holds for a start that was announced only later, if that announcement was proposed after the removal was received. Here it was proposed before (23:51:55.035 "announcement committed ... context canceled"), held up, and applied after it (23:51:55.511 "target left" of the earlier start). The 0.3 s for which the removal waits for the close of its caller's connection make that likelier.

The removal holds for announcements that were proposed within 5 s before or after it. A clock that was set back by more is handled as before. The spec failed before: "proposed before the removal, applied after it: Expected 1 to be zero".

--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -268,11 +268,11 @@
 const lateAnnouncementTime = 5 * time.Second
 
 // mayBeRemoved reports whether next may be a late announcement of the process that a removal without a start meant. A process that was
-// started after the removal, and one that still announces itself later, are others. A clock that was set back is no reason to wait until it
-// has caught up.
+// started after the removal, and one that still announces itself later, are others. An announcement may have been proposed shortly before the
+// removal and be applied after it. A clock that was set back by more is no reason to wait until it has caught up.
 func mayBeRemoved(old, next *schemav1.Registration, proposedUnixMs int64) bool {
 	removedAt := old.GetRemovedUnixMs()
-	late := proposedUnixMs >= removedAt && proposedUnixMs < removedAt+lateAnnouncementTime.Milliseconds()
+	late := max(proposedUnixMs-removedAt, removedAt-proposedUnixMs) < lateAnnouncementTime.Milliseconds()
 	return removedAt > 0 && next.GetStartedUnixMs() <= removedAt && late
 }
 
--- a/pkg/registry/state_test.go
+++ b/pkg/registry/state_test.go
@@ -187,6 +187,7 @@
 			apply(s, &schemav1.RegistryCommand{Registration: registration("t", started, schemav1.Life_LIFE_READY), ProposedUnixMs: proposed})
 			return len(s.Targets())
 		}
+		Expect(announce(removedAt-2000, removedAt-400)).To(BeZero(), "proposed before the removal, applied after it (soak seed 907)")
 		Expect(announce(removedAt-2000, removedAt+1500)).To(BeZero(), "a late announcement of the process that was removed")
 		snapshot, err := s.Snapshot()
 		Expect(err).NotTo(HaveOccurred())
