grants, registrar: one applyCommand for both models; the reason of isFormed

The two models of pkg/grants applied commands to the state by the same lines; both call applyCommand now. The comment of isFormed and the title of its table said that a majority has to be more hosts than may be lost; the code asks for more: that the voters left after a loss are a majority, without which no leader is elected. No behaviour, assertion or expectation is changed. Ran: pkg/grants (TestGrants and both models), the table of pkg/registrar, vet, format and linter.

--- a/pkg/grants/leaders_test.go
+++ b/pkg/grants/leaders_test.go
@@ -11,8 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"almondrock.example/almondrock/pkg/registry"
 	"almondrock.example/almondrock/pkg/routes"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
@@ -144,15 +142,7 @@
 
 // apply applies a command to the registry. w.mu must be held.
 func (w *modelWorld) apply(c *schemav1.RegistryCommand) *schemav1.RegistryResult {
-	encoded, err := proto.Marshal(c)
-	if err != nil {
-		panic(err)
-	}
-	result := &schemav1.RegistryResult{}
-	if err := proto.Unmarshal(w.state.Apply(0, encoded), result); err != nil {
-		panic(err)
-	}
-	return result
+	return applyCommand(w.state, c)
 }
 
 // startProcess starts a process in a slot and announces it after a delay.
--- a/pkg/grants/model_test.go
+++ b/pkg/grants/model_test.go
@@ -85,12 +85,17 @@
 }
 
 func (m *model) apply(c *schemav1.RegistryCommand) *schemav1.RegistryResult {
+	return applyCommand(m.state, c)
+}
+
+// applyCommand applies a command to a state as a replica does.
+func applyCommand(state *registry.State, c *schemav1.RegistryCommand) *schemav1.RegistryResult {
 	encoded, err := proto.Marshal(c)
 	if err != nil {
 		panic(err)
 	}
 	result := &schemav1.RegistryResult{}
-	if err := proto.Unmarshal(m.state.Apply(0, encoded), result); err != nil {
+	if err := proto.Unmarshal(state.Apply(0, encoded), result); err != nil {
 		panic(err)
 	}
 	return result
--- a/pkg/registrar/forming.go
+++ b/pkg/registrar/forming.go
@@ -18,8 +18,8 @@
 // takes forwardTimeout.
 const formingTimeout = 2500 * time.Millisecond
 
-// isFormed reports whether a majority of the voters is more hosts than may be lost, or the group has had enough time to add voters. led is
-// the time for which the host has known a leader.
+// isFormed reports whether the voters that are left after the loss of faultTolerance hosts are still a majority, or the group has had enough
+// time to add voters. led is the time for which the host has known a leader.
 func isFormed(committedVoters, faultTolerance int, led time.Duration) bool {
 	return committedVoters > 2*faultTolerance || led > formingTimeout
 }
--- a/pkg/registrar/forming_test.go
+++ b/pkg/registrar/forming_test.go
@@ -5,7 +5,7 @@
 	. "github.com/onsi/gomega"
 )
 
-var _ = DescribeTable("Group counts as formed when a majority of its voters is more hosts than may be lost",
+var _ = DescribeTable("Group counts as formed when the voters that are left after a loss are a majority",
 	func(voters, faultTolerance int, formed bool) {
 		Expect(isFormed(voters, faultTolerance, formingTimeout)).To(Equal(formed))
 		Expect(isFormed(voters, faultTolerance, formingTimeout+1)).To(BeTrue(), "a deployment with fewer hosts stays usable")
