--- a/review/standin-2/cold.go
+++ b/review/standin-2/cold.go
@@ -23,11 +23,10 @@
 	`"action":{"service":"workshop-desk","timeoutMs":800,"maxAttempts":2,"allowedRegions":[]}}]}],` +
 	`"clusters":[{"name":"workshop-desk","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":7.1}]}`
 
-// coldDeployment configures the deployment and starts two servers in each zone and clients that send perSecond requests a second. The servers
-// can run about 200.
-func coldDeployment(ctx context.Context, d *deployment, r *record, perSecond float64) ([]*server, *clients, error) {
+// startServers configures the deployment, starts perZone servers in each zone and waits until all front machines are ready.
+func startServers(d *deployment, r *record, configuration string, perZone int, work time.Duration) ([]*server, error) {
 	if err := d.operate("PUT", "/api/config", configuration, 15*time.Second); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	var controls []string
 	for _, c := range d.cores {
@@ -35,24 +34,34 @@
 	}
 	var servers []*server
 	for i, z := range zones {
-		for n := range 2 {
+		for n := range perZone {
 			paths := map[string]*delayProxy{}
 			for _, c := range controls {
-				p, err := newDelayProxy(d.address(50+2*i+n), c)
+				p, err := newDelayProxy(d.address(50+perZone*i+n), c)
 				if err != nil {
-					return nil, nil, err
+					return nil, err
 				}
 				paths[c] = p
 			}
-			s := newServer(fmt.Sprintf("i-%s-%d", z.name, n+1), "workshop-desk", z.name, fmt.Sprintf("%s:%d", d.address(50+2*i+n), serverPort), 3,
-				120*time.Millisecond, controls, paths, r)
+			s := newServer(fmt.Sprintf("i-%s-%d", z.name, n+1), "workshop-desk", z.name, fmt.Sprintf("%s:%d", d.address(50+perZone*i+n), serverPort), 3,
+				work, controls, paths, r)
 			if err := s.start(); err != nil {
-				return nil, nil, err
+				return nil, err
 			}
 			servers = append(servers, s)
 		}
 	}
 	if err := d.awaitReady(15 * time.Second); err != nil {
+		return nil, err
+	}
+	return servers, nil
+}
+
+// coldDeployment configures the deployment and starts two servers in each zone and clients that send perSecond requests a second. The servers
+// can run about 200.
+func coldDeployment(ctx context.Context, d *deployment, r *record, perSecond float64) ([]*server, *clients, error) {
+	servers, err := startServers(d, r, configuration, 2, 120*time.Millisecond)
+	if err != nil {
 		return nil, nil, err
 	}
 	c := newClients(d, r, "lookups.example", "/lookups/", 1500*time.Millisecond)
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -40,6 +40,14 @@
 	exited                             chan struct{}
 }
 
+// memoryMb is the memory of the machine, as in its settings.
+func (m *machine) memoryMb() int64 {
+	if m.class == "core" {
+		return 280
+	}
+	return 284
+}
+
 // deployment is a small deployment on loopback addresses.
 type deployment struct {
 	root, dir, prefix string
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(d *deployment, r *record, trouble bool) (broken bool, err error){
 	"late-heartbeat":     lateHeartbeat,
 	"restart-behind-cut": restartBehindCut,
+	"slow-readers":       slowReading,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -9,10 +9,17 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
 
+// manualPrefix begins the paths of manuals. largestManual is the size of the largest one in bytes, as in sites/dmau-gateway.toml.
+const (
+	manualPrefix  = "/manuals/"
+	largestManual = 540_000
+)
+
 // server is a stand-in for one server of a service.
 type server struct {
 	id, service, zone, address string
@@ -32,6 +39,8 @@
 	waiting   int
 	slotFree  *sync.Cond
 	arrivals  []arrival
+	// ran has the IDs of the requests at which the server has begun to work.
+	ran map[string]bool
 	// beatAddress is the core machine of the next heartbeat.
 	beatAddress string
 	beating     bool
@@ -52,6 +61,7 @@
 	s := &server{
 		id: id, service: service, zone: zone, address: address, slots: slots, queue: 12, work: work, controls: controls, paths: paths, record: r,
 		state: "ready", beatAddress: controls[rand.IntN(len(controls))], beatNow: make(chan struct{}, 1),
+		ran: map[string]bool{},
 	}
 	s.slotFree = sync.NewCond(&s.mu)
 	return s
@@ -265,6 +275,7 @@
 		return
 	}
 	s.running++
+	s.ran[id] = true
 	s.mu.Unlock()
 	s.record.write("run", "id", id, "server", s.id)
 	work := time.Duration((0.4 + 1.2*rand.Float64()) * float64(s.work))
@@ -281,6 +292,11 @@
 	s.slotFree.Signal()
 	header.Set("Request-Id", id)
 	header.Set("Response-Signature", fmt.Sprintf("%s.%s.%d", s.id, id, len(body)))
+	if strings.HasPrefix(r.URL.Path, manualPrefix) {
+		header.Set("Content-Length", strconv.Itoa(largestManual))
+		_, _ = w.Write(bytes.Repeat([]byte("manual "), largestManual/7+1)[:largestManual])
+		return
+	}
 	_, _ = io.WriteString(w, "ran by "+s.id+"\n")
 }
 
