--- /dev/null
+++ b/pkg/entry/registrychoice.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// nearestRetryInterval is how long a more distant registry host is used before the nearer ones are probed again.
+	nearestRetryInterval = 3 * time.Second
+	// maxProbes bounds the registry hosts that are probed at the same time.
+	maxProbes = 16
+)
+
+// registryChoice decides which registry host an entry host follows, and which ones it probes. A registry host that has failed is used again
+// only once it has answered a probe, so that no update of the view waits for it, however many are gone or stand still. It makes no calls, and
+// times are those of its caller.
+type registryChoice struct {
+	// addresses has the peer addresses of the registry hosts, the preferred one first.
+	addresses []string
+	// inUse is the registry host that is followed since chosenAt.
+	inUse    string
+	chosenAt time.Duration
+	// searching is set while the one in use has not answered and all others are probed.
+	searching bool
+	// failedAt has the time of the last failure of each registry host that has not answered since.
+	failedAt map[string]time.Duration
+	// probes has the registry hosts that are being probed, and probedAt when each was probed last.
+	probes   map[string]bool
+	probedAt map[string]time.Duration
+}
+
+func newRegistryChoice() registryChoice {
+	return registryChoice{failedAt: map[string]time.Duration{}, probes: map[string]bool{}, probedAt: map[string]time.Duration{}}
+}
+
+// setAddresses takes the registry hosts that are known now, of which there is at least one, the preferred one first.
+func (c *registryChoice) setAddresses(now time.Duration, addresses []string) {
+	c.addresses = addresses
+	for address := range c.failedAt {
+		if !slices.Contains(addresses, address) {
+			delete(c.failedAt, address)
+		}
+	}
+	for address := range c.probedAt {
+		if !slices.Contains(addresses, address) {
+			delete(c.probedAt, address)
+		}
+	}
+	if c.inUse == "" {
+		c.choose(now, c.best())
+	}
+}
+
+// choose follows another registry host from now on.
+func (c *registryChoice) choose(now time.Duration, address string) {
+	c.inUse, c.chosenAt = address, now
+}
+
+// best returns the preferred registry host that has not failed, or else the one whose last failure is the longest ago.
+func (c *registryChoice) best() string {
+	return slices.MinFunc(c.addresses, func(a, b string) int { return c.compareFailures(a, b) })
+}
+
+// compareFailures orders registry hosts by their last failures, those without one first.
+func (c *registryChoice) compareFailures(a, b string) int {
+	failure := func(address string) time.Duration {
+		if at, ok := c.failedAt[address]; ok {
+			return at
+		}
+		return math.MinInt64
+	}
+	switch x, y := failure(a), failure(b); {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// answered records that a registry host has answered a call for the view and is up to date.
+func (c *registryChoice) answered(now time.Duration, address string) {
+	delete(c.failedAt, address)
+	if c.searching && address != c.inUse {
+		c.choose(now, address)
+	}
+	c.searching = false
+}
+
+// outdated records that a registry host has answered but is not up to date.
+func (c *registryChoice) outdated(now time.Duration, address string) {
+	c.failedAt[address] = now
+	if address == c.inUse {
+		c.searching = false
+		c.choose(now, c.best())
+	}
+}
+
+// failed records that a call to a registry host has failed, or that it takes too long.
+func (c *registryChoice) failed(now time.Duration, address string) {
+	c.failedAt[address] = now
+	if address == c.inUse {
+		c.searching = true
+		c.choose(now, c.best())
+	}
+}
+
+// probed records the result of a probe. usable is set if the registry host has answered and does not say that it is not up to date.
+func (c *registryChoice) probed(now time.Duration, address string, usable bool) {
+	delete(c.probes, address)
+	if !usable {
+		c.failedAt[address] = now
+		return
+	}
+	delete(c.failedAt, address)
+	if c.searching || now-c.chosenAt >= nearestRetryInterval && slices.Contains(c.nearer(), address) {
+		c.searching = false
+		c.choose(now, address)
+	}
+}
+
+// nearer returns the registry hosts that are preferred to the one in use.
+func (c *registryChoice) nearer() []string {
+	if at := slices.Index(c.addresses, c.inUse); at >= 0 {
+		return c.addresses[:at]
+	}
+	return c.addresses
+}
+
+// dueProbes returns the registry hosts that are to be probed now, and counts them as being probed: all but the one in use while it does not
+// answer, and the nearer ones from time to time.
+func (c *registryChoice) dueProbes(now time.Duration) []string {
+	candidates, interval := c.nearer(), nearestRetryInterval
+	if c.searching {
+		candidates, interval = c.addresses, watchTimeout
+	} else if now-c.chosenAt < nearestRetryInterval {
+		return nil
+	}
+	var due []string
+	for _, address := range candidates {
+		at, probedBefore := c.probedAt[address]
+		if address != c.inUse && !c.probes[address] && (!probedBefore || now-at >= interval) {
+			due = append(due, address)
+		}
+	}
+	slices.SortStableFunc(due, c.compareFailures)
+	due = due[:min(len(due), max(0, maxProbes-len(c.probes)))]
+	for _, address := range due {
+		c.probes[address], c.probedAt[address] = true, now
+	}
+	return due
+}
--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -14,6 +14,7 @@
 	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/internal/monotonic"
 	"almondrock.example/almondrock/pkg/registrar"
+	"almondrock.example/almondrock/pkg/rpc"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
@@ -24,8 +25,10 @@
 	// lateWatchTimeout is how long a response is awaited in total. Behind the files on a congested link of 3 Mbit/s, each response may
 	// take longer than watchTimeout, so that without late responses the view would stand still.
 	lateWatchTimeout = 4 * time.Second
-	// maxPendingWatches bounds the registry hosts that are asked at the same time.
+	// maxPendingWatches bounds the registry hosts that are asked for the view at the same time. Beyond it the oldest call is given up.
 	maxPendingWatches = 3
+	// probeTimeout is long enough that a probe without an answer closes a connection that has gone silent.
+	probeTimeout = rpc.DefaultSilenceTimeout
 	// silentWatches is the number of calls without an answer from which on the connections to the other registry hosts may have gone silent too,
 	// so that these are asked over new ones. A single one may wait on a congested link, on which a new connection could not be opened in time.
 	silentWatches = 2
@@ -41,8 +44,6 @@
 	// notConfirmed stands for an update that does not tell up to which time the view after it is complete. It is far before the start of any
 	// host, because a view may be older than the host that gets it.
 	notConfirmed time.Duration = math.MinInt64 / 2
-	// nearestRetryInterval is how long a more distant registry host is used before the nearest one is tried again.
-	nearestRetryInterval = 3 * time.Second
 )
 
 // lookUpRegistryHosts asks the seeds for the registry hosts, so that the first view, which is large, is asked for at the nearest one. Hosts
@@ -116,77 +117,140 @@
 	return r.askedAt + time.Duration(r.update.GetCompleteUntilUs())*time.Microsecond
 }
 
+// pendingWatch is a watch call without a result yet.
+type pendingWatch struct {
+	askedAt time.Duration
+	cancel  context.CancelFunc
+}
+
+// probeResult is the result of a probe of a registry host.
+type probeResult struct {
+	address string
+	usable  bool
+}
+
 // registryFollower keeps the view of a host up to date. Only one goroutine uses it.
 type registryFollower struct {
-	host *Host
-	// index is the position of the registry host in use among the registry addresses, 0 for the nearest, and switchedAt is when it changed.
-	index      int
-	switchedAt time.Duration
+	host   *Host
+	choice registryChoice
 	// staleHosts counts the registry hosts in a row that were not up to date.
 	staleHosts int
-	// pending has the addresses of the calls without a result yet.
-	pending map[string]bool
+	// silent is set after a call without an answer, until there is one.
+	silent bool
+	// pending has the watch calls without a result by address.
+	pending map[string]pendingWatch
 	results chan watchResult
+	probes  chan probeResult
 }
 
 // followRegistry keeps the view up to date until ctx ends.
 func (h *Host) followRegistry(ctx context.Context) {
 	h.lookUpRegistryHosts(ctx)
-	f := &registryFollower{host: h, switchedAt: h.now(), pending: map[string]bool{}, results: make(chan watchResult, maxPendingWatches)}
+	f := &registryFollower{
+		host: h, choice: newRegistryChoice(), pending: map[string]pendingWatch{}, results: make(chan watchResult), probes: make(chan probeResult),
+	}
 	for ctx.Err() == nil {
 		f.step(ctx)
 	}
 }
 
-// step asks the registry host in use for changes and handles the next result. If there is none within watchTimeout, the next step asks
-// another registry host as well.
+// step asks the registry host in use for changes, starts the probes that are due, and handles the next result. If the one in use does not
+// answer within watchTimeout, the next step asks another one as well.
 func (f *registryFollower) step(ctx context.Context) {
 	if f.host.completeUntil.Load() != int64(notConfirmed) {
 		f.host.requestMetrics.recordViewAge(f.host.viewAge())
 	}
-	addresses := f.host.registryAddresses()
-	if f.index > 0 && f.host.now()-f.switchedAt > nearestRetryInterval {
-		f.index = 0
+	now := f.host.now()
+	f.choice.setAddresses(now, f.host.registryAddresses())
+	for _, address := range f.choice.dueProbes(now) {
+		f.probe(ctx, address)
 	}
-	address := addresses[f.index%len(addresses)]
-	if !f.pending[address] && len(f.pending) < maxPendingWatches {
+	address := f.choice.inUse
+	if _, asked := f.pending[address]; !asked {
 		f.start(ctx, address)
 	}
-	timer := time.NewTimer(watchTimeout)
+	timer := time.NewTimer(max(f.pending[address].askedAt, f.choice.chosenAt) + watchTimeout - now)
 	defer timer.Stop()
 	select {
 	case result := <-f.results:
-		delete(f.pending, result.address)
-		f.handle(ctx, result, result.address == address)
+		if call := f.pending[result.address]; call.cancel != nil && call.askedAt == result.askedAt {
+			call.cancel()
+			delete(f.pending, result.address)
+			f.handle(ctx, result)
+		}
+	case result := <-f.probes:
+		f.choice.probed(f.host.now(), result.address, result.usable)
 	case <-timer.C:
 		klog.InfoS("registry host slow to answer", "address", address, "viewVersion", f.host.current().version, "pending", len(f.pending))
 		if len(f.pending) >= silentWatches {
 			f.host.registryClient.CloseIdle()
 		}
-		f.useNext()
+		f.silent = true
+		f.choice.failed(f.host.now(), address)
 	case <-ctx.Done():
 	}
 }
 
 // start sends a watch call for the changes since the view in force, which reports the key loads of this host.
 func (f *registryFollower) start(ctx context.Context, address string) {
-	f.pending[address] = true
 	h := f.host
+	if len(f.pending) >= maxPendingWatches {
+		f.giveUpOldest()
+	}
 	// Only one response is asked for at once: while a leader is elected, no registry host is up to date, and all entry hosts ask them in turn.
-	hello := &schemav1.ViewHello{Version: h.current().version, Entry: h.announcedSelf(), KeyLoads: h.keyLoads.takeCounts(), AtOnce: f.staleHosts == 1}
+	hello := &schemav1.ViewHello{
+		Version: h.current().version, Entry: h.announcedSelf(), KeyLoads: h.keyLoads.takeCounts(), AtOnce: f.staleHosts == 1 || f.silent,
+	}
+	call, cancel := context.WithCancel(ctx)
+	result := watchResult{address: address, askedAt: h.now()}
+	f.pending[address] = pendingWatch{result.askedAt, cancel}
 	go func() {
-		result := watchResult{address: address, askedAt: h.now()}
 		result.err = guard.Run("watch", func() (err error) {
-			result.update, err = h.callRegistry(ctx, address, lateWatchTimeout, hello)
+			result.update, err = h.callRegistry(call, address, lateWatchTimeout, hello)
 			return err
 		})
-		f.results <- result
+		select {
+		case f.results <- result:
+		case <-call.Done():
+		}
 	}()
 }
 
-// handle applies the result of a watch call. inUse is set if it is of the registry host in use.
-func (f *registryFollower) handle(ctx context.Context, result watchResult, inUse bool) {
+// giveUpOldest gives up the watch call that has been pending for the longest time.
+func (f *registryFollower) giveUpOldest() {
+	oldest := ""
+	for address, call := range f.pending {
+		if oldest == "" || call.askedAt < f.pending[oldest].askedAt {
+			oldest = address
+		}
+	}
+	f.pending[oldest].cancel()
+	delete(f.pending, oldest)
+}
+
+// probe asks a registry host whether it could be used. The answer is small unless the list of registry hosts has changed.
+func (f *registryFollower) probe(ctx context.Context, address string) {
 	h := f.host
+	hello := &schemav1.ViewHello{HostsOnly: true, Version: h.current().version}
+	go func() {
+		result := probeResult{address: address}
+		err := guard.Run("probe", func() error {
+			update, err := h.callRegistry(ctx, address, probeTimeout, hello)
+			// Registry hosts of earlier versions, and those that do not know how old their state is, tell nothing of it.
+			result.usable = err == nil && (update.GetUpToDate() || update.CompleteUntilUs == nil)
+			return err
+		})
+		klog.InfoS("registry host probed", "address", address, "usable", result.usable, "err", err)
+		select {
+		case f.probes <- result:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// handle applies the result of a watch call.
+func (f *registryFollower) handle(ctx context.Context, result watchResult) {
+	h, inUse := f.host, result.address == f.choice.inUse
 	if result.err == nil && (result.update.GetUpToDate() || h.registryAddress.Load() == nil) {
 		h.registryAddress.Store(&result.address)
 	}
@@ -194,32 +258,28 @@
 	case ctx.Err() != nil:
 	case result.err != nil:
 		klog.InfoS("registry host not answering", "address", result.address, "viewVersion", h.current().version, "err", result.err)
+		f.choice.failed(h.now(), result.address)
 		if inUse {
-			f.useNext()
 			monotonic.Sleep(ctx, watchRetryDelay)
 		}
 	case result.update.GetUpToDate():
 		h.applyUpdate(result.update, result.completeUntil())
-		f.staleHosts = 0
+		f.staleHosts, f.silent = 0, false
+		f.choice.answered(h.now(), result.address)
 	default:
 		// The update may lack changes. It replaces the view in force only if it is newer, and it cannot be the first view.
 		if h.current().version > 0 {
 			h.applyUpdate(result.update, result.completeUntil())
 		}
+		f.choice.outdated(h.now(), result.address)
 		if inUse {
 			klog.InfoS("registry host not up to date", "address", result.address, "viewVersion", h.current().version, "viewAge", h.viewAge())
-			f.staleHosts++
-			f.useNext()
+			f.staleHosts, f.silent = f.staleHosts+1, false
 			monotonic.Sleep(ctx, watchRetryDelay)
 		}
 	}
 }
 
-// useNext turns to the next registry host.
-func (f *registryFollower) useNext() {
-	f.index, f.switchedAt = f.index+1, f.host.now()
-}
-
 // callRegistry makes a watch call to a registry host.
 func (h *Host) callRegistry(ctx context.Context, address string, timeout time.Duration, request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/pkg/registrar/join.go
+++ b/pkg/registrar/join.go
@@ -1,7 +1,6 @@
 package registrar
 
 import (
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -24,32 +23,44 @@
 	}
 }
 
-// tryJoin asks the known registry hosts, and the leader that they name, to add this host to the group. It returns true if the leader
-// has added this host or it already is a member.
+// tryJoin asks all known registry hosts at the same time, and the leader that they name, to add this host to the group. It returns true if
+// the leader has added this host or it already is a member.
 func (r *Registrar) tryJoin() bool {
 	request := &schemav1.MemberJoin{Id: r.id, Host: r.self()}
-	addresses := r.seeds()
-	for _, host := range r.state.RegistryHosts() {
-		if !slices.Contains(addresses, host.GetPeerAddress()) {
-			addresses = append(addresses, host.GetPeerAddress())
+	asked := map[string]bool{r.options.PeerAddress: true}
+	answers, pending := make(chan *schemav1.MemberJoinAnswer), 0
+	done := make(chan struct{})
+	defer close(done)
+	ask := func(address string) {
+		if address == "" || asked[address] {
+			return
 		}
+		asked[address] = true
+		pending++
+		r.start("join the registry", func() {
+			answer := &schemav1.MemberJoinAnswer{}
+			if err := r.call(address, methodJoin, request, answer); err != nil {
+				klog.V(1).InfoS("join request failed", "address", address, "err", err)
+			}
+			select {
+			case answers <- answer:
+			case <-done:
+			}
+		})
 	}
-	for i := 0; i < len(addresses); i++ {
-		if addresses[i] == r.options.PeerAddress {
-			continue
-		}
-		response := &schemav1.MemberJoinAnswer{}
-		if err := r.call(addresses[i], methodJoin, request, response); err != nil {
-			klog.V(1).InfoS("join request failed", "address", addresses[i], "err", err)
-			continue
-		}
-		if response.GetAdded() {
-			klog.InfoS("joined the registry", "host", r.options.Name, "id", r.id, "by", addresses[i])
+	for _, seed := range r.seeds() {
+		ask(seed)
+	}
+	for _, host := range r.state.AllRegistryHosts() {
+		ask(host.GetPeerAddress())
+	}
+	for ; pending > 0; pending-- {
+		answer := <-answers
+		if answer.GetAdded() {
+			klog.InfoS("joined the registry", "host", r.options.Name, "id", r.id)
 			return true
 		}
-		if leader := response.GetLeaderAddress(); leader != "" && !slices.Contains(addresses, leader) {
-			addresses = append(addresses, leader)
-		}
+		ask(answer.GetLeaderAddress())
 	}
 	return false
 }
@@ -68,10 +79,8 @@
 // recordSelf starts to record the addresses of this host in the registry if they are not recorded yet.
 func (r *Registrar) recordSelf() {
 	self := r.self()
-	for _, host := range r.state.RegistryHosts() {
-		if proto.Equal(host, self) {
-			return
-		}
+	if isRecorded(r.state.AllRegistryHosts(), self) {
+		return
 	}
 	if !r.recordingSelf.CompareAndSwap(false, true) {
 		return
@@ -83,3 +92,16 @@
 		}
 	})
 }
+
+// isRecorded reports whether the registry has a host as it describes itself. Whether it is absent is for the leader to say.
+func isRecorded(hosts []*schemav1.RegistryHost, self *schemav1.RegistryHost) bool {
+	for _, host := range hosts {
+		if host.GetName() != self.GetName() {
+			continue
+		}
+		described := proto.CloneOf(host)
+		described.Absent = false
+		return proto.Equal(described, self)
+	}
+	return false
+}
--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -25,6 +25,7 @@
 	cancel              context.CancelFunc
 	ctx                 context.Context
 	membershipChangedAt time.Time
+	adoptedAt           time.Time
 	membershipChanges   sync.WaitGroup
 	suspectAges         suspectAges
 	expectedCold        expectedCold
@@ -49,6 +50,11 @@
 		r.quotas.begin(time.Since(r.started), status.Term, r.options.QuotaTolerance)
 	}
 	l.changeMembership(status)
+	r.recordHosts(status)
+	if time.Since(l.adoptedAt) >= adoptInterval {
+		l.adoptedAt = time.Now()
+		r.watchers.adopt(r.state.EntryHostNames())
+	}
 	r.expireSuspects(&l.suspectAges)
 	for _, load := range r.keyLoads.take(time.Now()) {
 		for i, bucket := range load.GetBuckets() {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -126,6 +126,8 @@
 	failed  chan error
 	// recordingSelf is set while this host records its own addresses in the registry.
 	recordingSelf atomic.Bool
+	// recordingHosts is set while this host records which registry hosts have left or are absent.
+	recordingHosts atomic.Bool
 	// endingExpectedCold is set while this host records targets as warm that were expected to be cold.
 	endingExpectedCold atomic.Bool
 	// rejoining is set while this host asks to join the group again.
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -129,6 +129,8 @@
 type watchers struct {
 	mu     sync.Mutex
 	byName map[string]*watcher
+	// adopted has entry hosts that the leader looks for although they have not called this host.
+	adopted map[string]*watcher
 }
 
 // watcher is an entry host that watches the registry.
@@ -149,6 +151,20 @@
 		w.byName[name] = &watcher{}
 	}
 	w.byName[name].seenAt, w.byName[name].unknownChecks = time.Now(), 0
+	delete(w.adopted, name)
+}
+
+// adopt takes over the entry hosts that do not watch through this host, as if they had just called. Nobody else may ask for them: the registry
+// host through which they watched may have restarted since, or may be gone.
+func (w *watchers) adopt(names []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.adopted = map[string]*watcher{}
+	for _, name := range names {
+		if w.byName[name] == nil {
+			w.adopted[name] = &watcher{seenAt: time.Now()}
+		}
+	}
 }
 
 // keepSilent keeps a silent entry host for another watcherTimeout, because nothing could be found out about it or it could not be removed.
@@ -195,10 +211,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	silent := map[string]watcher{}
-	for name, known := range w.byName {
-		if time.Since(known.seenAt) > watcherTimeout {
-			silent[name] = *known
-			delete(w.byName, name)
+	for _, hosts := range []map[string]*watcher{w.adopted, w.byName} {
+		for name, known := range hosts {
+			if time.Since(known.seenAt) > watcherTimeout {
+				silent[name] = *known
+				delete(hosts, name)
+			}
 		}
 	}
 	return silent
@@ -229,22 +247,31 @@
 	})
 }
 
-// watchingElsewhere asks the other registry hosts which of these entry hosts watch through them. complete is false if one did not answer.
+// watchingElsewhere asks the other registry hosts, all at the same time, which of these entry hosts watch through them. complete is false if
+// one did not answer.
 func (r *Registrar) watchingElsewhere(names []string) (watching map[string]bool, complete bool) {
 	watching, complete = map[string]bool{}, true
-	for _, host := range r.state.RegistryHosts() {
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, host := range r.state.AllRegistryHosts() {
 		if host.GetPeerAddress() == r.options.PeerAddress {
 			continue
 		}
-		response := &schemav1.EntryHostNames{}
-		if err := r.call(host.GetPeerAddress(), methodWatching, &schemav1.EntryHostNames{Names: names}, response); err != nil {
-			klog.V(1).InfoS("registry host not asked for its entry hosts", "address", host.GetPeerAddress(), "err", err)
-			complete = false
-		}
-		for _, name := range response.GetNames() {
-			watching[name] = true
-		}
+		calls.Go(func() {
+			response := &schemav1.EntryHostNames{}
+			err := r.call(host.GetPeerAddress(), methodWatching, &schemav1.EntryHostNames{Names: names}, response)
+			if err != nil {
+				klog.V(1).InfoS("registry host not asked for its entry hosts", "address", host.GetPeerAddress(), "err", err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			complete = complete && err == nil
+			for _, name := range response.GetNames() {
+				watching[name] = true
+			}
+		})
 	}
+	calls.Wait()
 	return watching, complete
 }
 
@@ -257,7 +284,7 @@
 // date, it waits up to watchTimeout.
 func (r *Registrar) handleWatch(ctx context.Context, request *schemav1.ViewHello) (*schemav1.ViewUpdate, error) {
 	if request.GetHostsOnly() {
-		return &schemav1.ViewUpdate{HostsChanged: true, RegistryHosts: r.state.RegistryHosts()}, nil
+		return r.listHosts(request.GetVersion()), nil
 	}
 	received := time.Now()
 	r.watchers.markSeen(request.GetEntry().GetName())
@@ -287,6 +314,19 @@
 	return update, nil
 }
 
+// listHosts returns whether this host is up to date, and the registry hosts if they have changed since a version.
+func (r *Registrar) listHosts(version uint64) *schemav1.ViewUpdate {
+	age := r.stateAge()
+	update := &schemav1.ViewUpdate{UpToDate: age <= maxStateAge}
+	if r.state.RegistryHostsChangedSince(version) {
+		update.HostsChanged, update.RegistryHosts = true, r.state.RegistryHosts()
+	}
+	if age != replication.UnknownAge {
+		update.CompleteUntilUs = proto.Int64(-age.Microseconds())
+	}
+	return update
+}
+
 // awaitUpdate waits up to watchTimeout until there is an update for a view with this version. Version 0 stands for no view, which a host
 // provides only if it is up to date.
 func (r *Registrar) awaitUpdate(ctx context.Context, version uint64) {
--- a/pkg/registry/announcement_test.go
+++ b/pkg/registry/announcement_test.go
@@ -46,7 +46,9 @@
 	It("are taken by the entry hosts of the target's data centre where there are many targets for each registry host", func() {
 		s := NewState()
 		for _, dataCentre := range []string{"n", "s"} {
-			apply(s, &schemav1.RegistryCommand{RegistryHost: &schemav1.RegistryHost{Name: "registry-" + dataCentre, DataCentre: dataCentre}})
+			apply(s, &schemav1.RegistryCommand{RegistryHost: &schemav1.RegistryHost{
+				Name: "registry-" + dataCentre, DataCentre: dataCentre, PeerAddress: dataCentre + ":1",
+			}})
 			for i := range 10 {
 				apply(s, &schemav1.RegistryCommand{EntryJoined: &schemav1.EntryHost{
 					Name: fmt.Sprint(dataCentre, i), DataCentre: dataCentre, AnnounceAddress: fmt.Sprintf("10.0.0.%d:1", i),
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -197,17 +197,30 @@
 		s.setEntryHostVersion(c.GetEntryLeft(), version)
 		return true
 	case c.GetRegistryHost() != nil:
-		if !setHost(s.hosts, c.GetRegistryHost().GetName(), c.GetRegistryHost()) {
-			return false
-		}
-		s.changeVersions.registryHosts = version
-		return true
+		return s.applyRegistryHost(c.GetRegistryHost(), version)
 	case c.GetSuspects() != nil:
 		return s.suspects.apply(c.GetSuspects(), version)
 	}
 	return false
 }
 
+// applyRegistryHost adds, changes or removes a registry host.
+func (s *State) applyRegistryHost(host *schemav1.RegistryHost, version uint64) bool {
+	if hasLeft(host) {
+		if s.hosts[host.GetName()] == nil {
+			return false
+		}
+		delete(s.hosts, host.GetName())
+	} else if !setHost(s.hosts, host.GetName(), host) {
+		return false
+	}
+	s.changeVersions.registryHosts = version
+	return true
+}
+
+// hasLeft reports whether an entry only tells that a registry host has left. Hosts of earlier versions keep such entries.
+func hasLeft(host *schemav1.RegistryHost) bool { return host.GetPeerAddress() == "" }
+
 func setHost[T proto.Message](hosts map[string]T, name string, host T) bool {
 	if old, ok := hosts[name]; ok && proto.Equal(old, host) {
 		return false
@@ -532,7 +545,9 @@
 		fresh.entryHosts[entry.GetName()] = entry
 	}
 	for _, host := range state.GetRegistryHosts() {
-		fresh.hosts[host.GetName()] = host
+		if !hasLeft(host) {
+			fresh.hosts[host.GetName()] = host
+		}
 	}
 	for _, table := range state.GetKeys() {
 		fresh.keyTables[table.GetService()] = table
@@ -676,13 +691,39 @@
 	return s.keyTables[service]
 }
 
-// RegistryHosts returns the registry hosts in the order of their names.
-func (s *State) RegistryHosts() []*schemav1.RegistryHost {
+// AllRegistryHosts returns the registry hosts in the order of their names, with those that are absent.
+func (s *State) AllRegistryHosts() []*schemav1.RegistryHost {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return sortedByName(s.hosts)
 }
 
+// RegistryHosts returns the registry hosts that are not absent in the order of their names.
+func (s *State) RegistryHosts() []*schemav1.RegistryHost {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.presentHosts()
+}
+
+// presentHosts returns the registry hosts that are not absent in the order of their names. s.mu must be held.
+func (s *State) presentHosts() []*schemav1.RegistryHost {
+	return slices.DeleteFunc(sortedByName(s.hosts), func(host *schemav1.RegistryHost) bool { return host.GetAbsent() })
+}
+
+// RegistryHostsChangedSince reports whether the registry hosts have changed after a version, which is 0 for no version.
+func (s *State) RegistryHostsChangedSince(version uint64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return version == 0 || version > s.version || s.changeVersions.registryHosts > version
+}
+
+// EntryHostNames returns the names of the entry hosts in their order.
+func (s *State) EntryHostNames() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Sorted(maps.Keys(s.entryHosts))
+}
+
 // UpdateSince returns the parts that changed after version. It returns everything if version is 0, is higher than the current
 // version, or is older than the last deletion of an ended target.
 func (s *State) UpdateSince(version uint64) *schemav1.ViewUpdate {
@@ -699,7 +740,7 @@
 		update.EvacuatedChanged, update.Evacuated = true, s.evacuated()
 	}
 	if full || s.changeVersions.registryHosts > version {
-		update.HostsChanged, update.RegistryHosts = true, sortedByName(s.hosts)
+		update.HostsChanged, update.RegistryHosts = true, s.presentHosts()
 	}
 	if update.Entries = s.changedEntryHosts(version, full); len(update.Entries) > 0 {
 		update.HostsChanged = true
