entry: reports of suspects go to the registry host that answers first

Change: every other try goes to the registry host that last answered. New spec; specs of suspects pass.

--- a/pkg/entry/registrychoice_test.go
+++ b/pkg/entry/registrychoice_test.go
@@ -116,3 +116,17 @@
 		Consistently(h.viewAge, 3*nearestRetryInterval, "10ms").Should(BeNumerically("<", 2*time.Second))
 	})
 })
+
+var _ = Describe("Report of suspects", func() {
+	// Guards against a report that takes a time-out for each registry host that is gone (the cause of review/6).
+	It("is sent to the registry host that last answered first, and to each of the others in case that fails", func() {
+		h := newHost([]string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, testTimeout)
+		answered := "10.0.0.3:1"
+		h.registryAddress.Store(&answered)
+		var asked []string
+		for tries := range 6 {
+			asked = append(asked, h.reportAddress(tries))
+		}
+		Expect(asked).To(Equal([]string{answered, "10.0.0.1:1", answered, "10.0.0.2:1", answered, "10.0.0.3:1"}))
+	})
+})
--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -279,8 +279,7 @@
 	ctx, cancel := context.WithTimeout(ctx, suspects.LocalLifetime)
 	defer cancel()
 	for tries := 0; ctx.Err() == nil; tries++ {
-		addresses := h.registryAddresses()
-		address := addresses[tries%len(addresses)]
+		address := h.reportAddress(tries)
 		version, err := h.callReportSuspects(ctx, address, change)
 		if err != nil {
 			klog.InfoS("suspects not reported", "registry", address, "crashed", len(change.GetCrashed()), "cleared", len(change.GetCleared()), "err", err)
@@ -296,6 +295,16 @@
 	}
 }
 
+// reportAddress returns the registry host for a try of a report: by turns the one that last answered, and each of the others, which may be
+// gone.
+func (h *Host) reportAddress(tries int) string {
+	if answered := h.registryAddress.Load(); answered != nil && tries%2 == 0 {
+		return *answered
+	}
+	addresses := h.registryAddresses()
+	return addresses[(tries/2)%len(addresses)]
+}
+
 // callReportSuspects sends a report to a registry host and returns the first version of the registry that has it.
 func (h *Host) callReportSuspects(ctx context.Context, address string, change *schemav1.SuspectChange) (version uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, suspectReportTimeout)
