upstream, target: an answer whose status is no status is none (status 000)

What callers saw: in the platform mode an answer with status 000 to 199 was skipped as an interim one, so that the request waited until its deadline, or took what lay behind it on the connection for its answer; statuses of 600 and above were passed on. In the two-tier mode 101 and statuses of 600 and above were passed on, and 000 ended the caller's connection or the one between two hosts. A grant or a release took all of its time.

Cause: the parser of net/http takes any three digits for a status. The client of pkg/upstream took all below 200 for interim ones; that of pkg/target checked nothing. An interim answer with content, which HTTP does not have, was followed by its content, read as the next answer.

Change: pkg/internal/statuscode says what a final and an interim answer are. Both clients take anything else for no answer after which the request may have run: 502, or another target for idempotent requests. 101 is not one of our answers, since no request asks for another protocol. The stand-in's announcements take only 200 to 299 for an acknowledgement.

Clients: requests and owners (pkg/upstream); requests, grants, probes of hosts and relays between hosts of the two-tier mode (pkg/target). Health of targets is a connection without a request in the platform mode; heartbeats are calls of targets; calls between hosts of the platform mode are no HTTP; almondctl takes only 200, and 409 and 422 of submissions. None of these reads such a status. Not detected: an interim answer in chunks in the two-tier mode, whose header field net/http removes; its content is then no answer unless it repeats the ID of the request.

--- a/pkg/standin/announce.go
+++ b/pkg/standin/announce.go
@@ -75,5 +75,5 @@
 	}
 	defer response.Body.Close()
 	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode < http.StatusMultipleChoices
+	return response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
 }
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,8 +14,11 @@
 	"github.com/ansel1/merry/v2"
 
 	"almondrock.example/almondrock/pkg/internal/sockets"
+	"almondrock.example/almondrock/pkg/internal/statuscode"
 )
 
+var errInterimTooLong = merry.Sentinel("interim responses are longer than a header may be")
+
 // Limits of connections. A new connection costs about 1 ms, so idle ones are kept. Targets are on the local network, so a
 // connection attempt that takes longer than dialTimeout has failed.
 const (
@@ -178,7 +182,9 @@
 // request. Errors wrap a *SendError.
 func (p *Pool) Send(request *http.Request, guard func() error) (*Exchange, error) {
 	current := &attempt{guard: guard}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { current.bindConn(info.Conn) }}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { current.bindConn(info.Conn) }, Got1xxResponse: limitInterim(),
+	}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := p.transport.RoundTrip(request) //nolint:bodyclose // the caller closes it with the Exchange
 	conn, writeStarted, guardErr := current.result()
@@ -191,5 +197,31 @@
 		}
 		return nil, merry.Wrap(&SendError{WriteStarted: writeStarted, Cause: err})
 	}
-	return &Exchange{Response: response, conn: conn}, nil
+	exchange := &Exchange{Response: response, conn: conn}
+	if err := statuscode.CheckFinal(response.StatusCode); err != nil {
+		exchange.Discard()
+		return nil, merry.Wrap(&SendError{WriteStarted: true, Cause: err})
+	}
+	return exchange, nil
+}
+
+// limitInterim returns a function that takes the interim responses to one request. It returns an error, which ends the request, for one with
+// content and when together they are longer than a header may be.
+func limitInterim() func(code int, header textproto.MIMEHeader) error {
+	remaining := maxResponseHeaderBytes
+	return func(code int, header textproto.MIMEHeader) error {
+		if err := statuscode.CheckInterim(code, http.Header(header), nil); err != nil {
+			return err
+		}
+		remaining -= len("HTTP/1.1 100 \r\n\r\n")
+		for name, values := range header {
+			for _, value := range values {
+				remaining -= len(name) + len(value) + len(": \r\n")
+			}
+		}
+		if remaining < 0 {
+			return errInterimTooLong
+		}
+		return nil
+	}
 }
--- a/pkg/target/repeated_test.go
+++ b/pkg/target/repeated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -82,3 +83,29 @@
 		exchange.Discard()
 	}
 })
+
+// Guards against an answer whose status is no status, such as 000 of a target in trouble, that counts as one of a target or of another host.
+var _ = DescribeTable("I6: a response whose status no final response has is an error, after which the request may have run",
+	func(answer string) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			connection, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer connection.Close()
+			_, _ = io.WriteString(connection, "HTTP/1.1 "+answer+"\r\nContent-Length: 2\r\n\r\nok")
+		}))
+		DeferCleanup(server.Close)
+		pool := target.NewPool(target.PoolOptions{MaxIdle: 4})
+		DeferCleanup(pool.Close)
+		request, err := http.NewRequest(http.MethodPost, server.URL, strings.NewReader("body"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = pool.Send(request, nil)
+		var failed *target.SendError
+		Expect(errors.As(err, &failed)).To(BeTrue(), "%v", err)
+		Expect(failed.WriteStarted).To(BeTrue())
+	},
+	Entry(nil, "000 None"), Entry(nil, "099 Low"), Entry(nil, "101 Switching Protocols"), Entry(nil, "600 High"), Entry(nil, "999 High"),
+	Entry("interim with content", "103 Early Hints\r\nContent-Length: 5\r\n\r\nHTTP/1.1 200 OK"),
+	Entry("interim without end", strings.Repeat("103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 ", 1<<13)+"200 OK"),
+)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -23,6 +23,7 @@
 	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/internal/headlimit"
 	"almondrock.example/almondrock/pkg/internal/sockets"
+	"almondrock.example/almondrock/pkg/internal/statuscode"
 )
 
 // Limits of connections and buffers.
@@ -413,9 +414,15 @@
 			}
 			return nil, InvalidResponse, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if statuscode.IsInterim(response.StatusCode) {
+			if err := statuscode.CheckInterim(response.StatusCode, response.Header, response.TransferEncoding); err != nil {
+				return nil, InvalidResponse, err
+			}
 			continue
 		}
+		if err := statuscode.CheckFinal(response.StatusCode); err != nil {
+			return nil, InvalidResponse, err
+		}
 		got := response.Header.Get(c.options.IDHeader)
 		if c.options.IDHeader == "" || r.ID == "" || got == r.ID || (got == "" && c.options.IDOptional && !cn.echoesIDs) {
 			cn.echoesIDs = cn.echoesIDs || got != ""
