registrar: specs with a group hand their open listeners to the hosts

The listeners stay open now and are handed over, for which Options has a field that only tests set. No spec restarts a host of such a group; those of the power loss do, and keep their ports below those of outgoing connections.

--- a/pkg/registrar/cutoff_test.go
+++ b/pkg/registrar/cutoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -12,7 +13,6 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
-	"almondrock.example/almondrock/pkg/internal/freeport"
 	"almondrock.example/almondrock/pkg/raft"
 	"almondrock.example/almondrock/pkg/routes"
 	"almondrock.example/almondrock/pkg/rpc"
@@ -70,11 +70,12 @@
 func startGroupOn(p *partition, fileSystems []wal.FS) []*Registrar {
 	GinkgoHelper()
 	var addresses []string
+	var listeners []net.Listener
 	for range 4 {
-		listener, err := freeport.Listen()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		addresses = append(addresses, listener.Addr().String())
-		Expect(listener.Close()).To(Succeed())
+		DeferCleanup(func() { _ = listener.Close() })
+		addresses, listeners = append(addresses, listener.Addr().String()), append(listeners, listener)
 	}
 	var hosts []*Registrar
 	for i, address := range addresses {
@@ -83,7 +84,7 @@
 			fileSystem = fileSystems[i]
 		}
 		r, err := New(context.Background(), Options{
-			fileSystem: fileSystem, pauseClock: p.pauseClock, clock: p.clock,
+			listener: listeners[i], fileSystem: fileSystem, pauseClock: p.pauseClock, clock: p.clock,
 			Name: fmt.Sprint("r", i), DataCentre: "n", PeerAddress: address, Seeds: addresses[:3], Bootstrap: true, FaultTolerance: 1,
 			DataDir: GinkgoT().TempDir(),
 			Decode: func(d *schemav1.RouteDocument) (*routes.Configuration, error) {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -88,6 +88,8 @@
 	MaxPeers int
 	// Budget bounds the memory that is held for other hosts; it may be nil.
 	Budget *memory.Budget
+	// listener replaces a new one at the address in tests.
+	listener net.Listener
 	// fileSystem replaces DataDir in tests.
 	fileSystem wal.FS
 	// pauseClock replaces pauses.BootClock in tests.
@@ -203,9 +205,12 @@
 
 // Start listens for calls from other hosts and joins the group in the background.
 func (r *Registrar) Start() error {
-	listener, err := net.Listen("tcp", cmp.Or(r.options.ListenAddress, r.options.PeerAddress))
-	if err != nil {
-		return merry.Wrap(err)
+	listener := r.options.listener
+	if listener == nil {
+		var err error
+		if listener, err = net.Listen("tcp", cmp.Or(r.options.ListenAddress, r.options.PeerAddress)); err != nil {
+			return merry.Wrap(err)
+		}
 	}
 	r.tasks.Go(func() {
 		if err := r.server.Serve(listener); err != nil {
