--- a/pkg/registrar/orders_test.go
+++ b/pkg/registrar/orders_test.go
@@ -73,9 +73,19 @@
 		Expect(late.SetEvacuated(context.Background(), "n", false)).NotTo(Succeed())
 		evacuate(false)
 		evacuate(true)
+		evacuated := func(r *Registrar) bool { return r.state.IsEvacuated("n") }
+		current, err := leader.readCurrent(context.Background(), &schemav1.CurrentRead{DataCentre: "n"})
+		Expect(err).NotTo(HaveOccurred())
+		newest := current.GetEvacuationOrder()
+		for _, r := range hosts {
+			// The leader and one more voter hold what is acknowledged, the others a little later.
+			Eventually(r.state.EvacuationOrder, "5s", "5ms").WithArguments("n").Should(Equal(newest))
+			Expect(evacuated(r)).To(BeTrue())
+		}
 		Expect(held.release()).To(BeNumerically(">", 0))
 		for _, r := range hosts {
-			Consistently(func() bool { return r.state.IsEvacuated("n") }, "300ms").Should(BeTrue())
+			Consistently(evacuated, "300ms").WithArguments(r).Should(BeTrue())
+			Expect(r.state.EvacuationOrder("n")).To(Equal(newest), "the late order has no number")
 		}
 	})
 
