entry: the spec of a target that leaves no longer waits for it to be chosen

"is reported to the registry until the view shows it as draining" sent requests without a bound until the leaving target got one.

--- a/pkg/entry/leaving_test.go
+++ b/pkg/entry/leaving_test.go
@@ -56,11 +56,11 @@
 		h := startHost()
 		t, other := startTarget("t", "desk"), startTarget("other", "desk")
 		received := startRegistry(h, func(*schemav1.TargetAnnouncement) error { return nil })
-		applyView(h, 1, nil, t, other)
+		applyView(h, 1, nil, t)
 		t.leave()
-		for t.runs.Load() == 0 {
-			sendRequest(h, "/safe/")
-		}
+		_, body, _ := sendRequest(h, "/safe/")
+		Expect(body).To(Equal("by t"))
+		applyView(h, 2, nil, t, other)
 		for range 2 {
 			var report *schemav1.TargetAnnouncement
 			Eventually(received, "2s").Should(Receive(&report))
@@ -69,7 +69,7 @@
 			Expect(report.GetRegistration().GetStartedUnixMs()).To(BeEquivalentTo(1))
 			Expect(report.GetRemoved()).To(BeFalse())
 		}
-		setRegistration(h, 2, t, 1, schemav1.Life_LIFE_DRAINING)
+		setRegistration(h, 3, t, 1, schemav1.Life_LIFE_DRAINING)
 		time.Sleep(2 * leavingReportInterval)
 		for len(received) > 0 {
 			<-received
