registrar: hosts that are cut off for less than a minute stay recorded, as absent, and so do their entry hosts

Entry hosts that are cut off with it go on by the shares that they know, so the others must not take these over soon (FAILBACK, BUDGET). Change: a host that is no member is marked as absent, and removed when it has been none for a minute (learnerTimeout). The leader asks for entry hosts that have not called it every 32 s, and removes one only after four checks in a row in which no registry host had heard of it. Specs of pkg/registrar on registry hosts and entry hosts pass.

--- a/pkg/registrar/registryhosts.go
+++ b/pkg/registrar/registryhosts.go
@@ -10,36 +10,49 @@
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
-const (
-	// absentTimeout is the time without a response to the leader after which views do not list a registry host any more. Shorter absences are
-	// left to the entry hosts, which turn away by themselves. From contactMs on after a loss, 3 s, bounds for changes hold again.
-	absentTimeout = 3 * time.Second
-	// adoptInterval is how often the leader looks for entry hosts that no registry host has heard of lately.
-	adoptInterval = 4 * watcherTimeout
-)
+// absentTimeout is the time without a response to the leader after which views do not list a registry host any more. Shorter absences are left to
+// the entry hosts, which turn away by themselves. From contactMs on after a loss, 3 s, bounds for changes hold again.
+const absentTimeout = 3 * time.Second
+
+// absences compares the registry hosts that are recorded with the members of the group. The zero value is ready for use by a new leader.
+type absences struct {
+	// departedSince is the time since which the leader knows that a host is no member, by name.
+	departedSince map[string]time.Duration
+}
 
-// nextHostChange returns the entry of the next registry host that differs from what the leader knows of the members of the group, or nil. A
-// host that is no member has left, and one that does not respond is absent until it has responded to this leader. self is the ID of the leader.
-func nextHostChange(hosts []*schemav1.RegistryHost, members []replication.MemberStatus, self uint64) *schemav1.RegistryHost {
+// nextChange returns the entry of the next registry host that differs from what the leader knows of the members, or nil. A host is absent while
+// it is no member or does not respond, until it has responded to this leader. One that is no member for learnerTimeout, as one that was cut off may
+// be for a while, has left. self is the ID of the leader.
+func (a *absences) nextChange(now time.Duration, hosts []*schemav1.RegistryHost, members []replication.MemberStatus, self uint64) *schemav1.RegistryHost {
+	departed := map[string]time.Duration{}
+	var change *schemav1.RegistryHost
 	for _, host := range hosts {
+		absent, left := host.GetAbsent(), false
 		member := memberAt(members, host.GetPeerAddress())
-		if member == nil {
-			return &schemav1.RegistryHost{Name: host.GetName()}
-		}
-		absent := host.GetAbsent()
-		switch responded := member.MatchIndex > 0 && member.SinceLastResponse <= responsiveTimeout; {
-		case member.ID == self, responded:
+		switch {
+		case member == nil:
+			since, known := a.departedSince[host.GetName()]
+			if !known {
+				since = now
+			}
+			departed[host.GetName()] = since
+			absent, left = true, now-since > learnerTimeout
+		case member.ID == self, member.MatchIndex > 0 && member.SinceLastResponse <= responsiveTimeout:
 			absent = false
 		case member.SinceLastResponse > absentTimeout:
 			absent = true
 		}
-		if absent != host.GetAbsent() {
-			changed := proto.CloneOf(host)
-			changed.Absent = absent
-			return changed
+		switch {
+		case change != nil:
+		case left:
+			change = &schemav1.RegistryHost{Name: host.GetName()}
+		case absent != host.GetAbsent():
+			change = proto.CloneOf(host)
+			change.Absent = absent
 		}
 	}
-	return nil
+	a.departedSince = departed
+	return change
 }
 
 // memberAt returns the member with an address that has responded last, or nil. A host that has lost its disk is a new member for a while
@@ -55,8 +68,8 @@
 }
 
 // recordHosts starts to record which registry hosts have left, are absent or are back. Only the leader calls it.
-func (r *Registrar) recordHosts(status replication.Status) {
-	change := nextHostChange(r.state.AllRegistryHosts(), status.Members, status.ID)
+func (r *Registrar) recordHosts(absences *absences, status replication.Status) {
+	change := absences.nextChange(time.Since(r.started), r.state.AllRegistryHosts(), status.Members, status.ID)
 	if change == nil || !r.recordingHosts.CompareAndSwap(false, true) {
 		return
 	}
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -51,6 +51,9 @@
 	// maxUnknownChecks is how often a silent entry host is kept because a registry host, through which it may watch, does not answer. A
 	// registry host that is away for longer may never return.
 	maxUnknownChecks = 3
+	// adoptInterval is how often the leader asks for entry hosts that have not called it. With maxUnknownChecks, one that is cut off for up to
+	// a minute together with its registry host stays in the registry.
+	adoptInterval = 4 * watcherTimeout
 	// proposalTimeout is the timeout of a proposal or read with its retries. Callers use another host after a second.
 	proposalTimeout = 900 * time.Millisecond
 )
@@ -139,6 +142,8 @@
 	seenAt, updatedAt time.Time
 	// unknownChecks counts the checks in a row after which it was not known whether it watches elsewhere.
 	unknownChecks int
+	// adopted is set if it has not called this host.
+	adopted bool
 }
 
 func (w *watchers) markSeen(name string) {
@@ -154,26 +159,36 @@
 	delete(w.adopted, name)
 }
 
-// adopt takes over the entry hosts that do not watch through this host, as if they had just called. Nobody else may ask for them: the registry
-// host through which they watched may have restarted since, or may be gone.
+// adopt takes over the entry hosts that do not watch through this host. Nobody else may ask for them: the registry host through which they
+// watched may have restarted since, or may be gone.
 func (w *watchers) adopt(names []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.adopted = map[string]*watcher{}
+	adopted := map[string]*watcher{}
 	for _, name := range names {
-		if w.byName[name] == nil {
-			w.adopted[name] = &watcher{seenAt: time.Now()}
+		switch {
+		case w.byName[name] != nil:
+		case w.adopted[name] != nil:
+			adopted[name] = w.adopted[name]
+		default:
+			adopted[name] = &watcher{seenAt: time.Now(), adopted: true}
 		}
 	}
+	w.adopted = adopted
 }
 
-// keepSilent keeps a silent entry host for another watcherTimeout, because nothing could be found out about it or it could not be removed.
+// keepSilent keeps a silent entry host until the next check, because nothing could be found out about it or it could not be removed.
 func (w *watchers) keepSilent(name string, known watcher) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.byName[name] == nil {
-		known.seenAt = time.Now()
-		known.unknownChecks++
+	if w.byName[name] != nil {
+		return
+	}
+	known.seenAt = time.Now()
+	known.unknownChecks++
+	if known.adopted {
+		w.adopted[name] = &known
+	} else {
 		w.byName[name] = &known
 	}
 }
@@ -206,19 +221,22 @@
 	return min(time.Duration(count)*updateIntervalPerWatcher, maxUpdateInterval)
 }
 
-// removeSilent removes and returns the entry hosts whose last call is more than watcherTimeout ago.
+// removeSilent removes and returns the entry hosts whose last call is more than watcherTimeout ago, and the adopted ones that are to be
+// checked.
 func (w *watchers) removeSilent() map[string]watcher {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	silent := map[string]watcher{}
-	for _, hosts := range []map[string]*watcher{w.adopted, w.byName} {
+	collect := func(hosts map[string]*watcher, timeout time.Duration) {
 		for name, known := range hosts {
-			if time.Since(known.seenAt) > watcherTimeout {
+			if time.Since(known.seenAt) > timeout {
 				silent[name] = *known
 				delete(hosts, name)
 			}
 		}
 	}
+	collect(w.adopted, adoptInterval)
+	collect(w.byName, watcherTimeout)
 	return silent
 }
 
@@ -234,8 +252,8 @@
 			switch {
 			case watching[name]:
 				continue
-			case !complete && known.unknownChecks < maxUnknownChecks:
-				klog.InfoS("entry host silent, not all registry hosts asked", "entry", name, "checks", known.unknownChecks+1)
+			case (known.adopted || !complete) && known.unknownChecks < maxUnknownChecks:
+				klog.InfoS("entry host silent, may watch elsewhere", "entry", name, "adopted", known.adopted, "allAsked", complete, "checks", known.unknownChecks+1)
 				r.watchers.keepSilent(name, known)
 				continue
 			}
