entry: entries of registry hosts that have left are not asked

Registry hosts of earlier versions list a host that has left by its name only. An entry host of this version that follows one of them would call an empty address. The spec of registryAddresses has such an entry now.

--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -304,7 +304,10 @@
 	})
 	var addresses []string
 	for _, host := range registryHosts {
-		addresses = append(addresses, host.GetPeerAddress())
+		// Registry hosts of earlier versions list those that have left by their names only.
+		if host.GetPeerAddress() != "" {
+			addresses = append(addresses, host.GetPeerAddress())
+		}
 	}
 	for _, seed := range *h.seeds.Load() {
 		if !slices.Contains(addresses, seed) {
--- a/pkg/entry/watch_test.go
+++ b/pkg/entry/watch_test.go
@@ -321,6 +321,7 @@
 				{Name: "a", DataCentre: "elsewhere", PeerAddress: "10.0.0.1:1"},
 				{Name: "b", DataCentre: "n", PeerAddress: "10.0.0.2:1"},
 				{Name: "c", DataCentre: "n", PeerAddress: "10.0.0.3:1"},
+				{Name: "left"},
 			}})
 			addresses := h.registryAddresses()
 			Expect(addresses).To(HaveLen(4))
