--- a/pkg/entry/registrychoice.go
+++ b/pkg/entry/registrychoice.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -38,16 +40,9 @@
 // setAddresses takes the registry hosts that are known now, of which there is at least one, the preferred one first.
 func (c *registryChoice) setAddresses(now time.Duration, addresses []string) {
 	c.addresses = addresses
-	for address := range c.failedAt {
-		if !slices.Contains(addresses, address) {
-			delete(c.failedAt, address)
-		}
-	}
-	for address := range c.probedAt {
-		if !slices.Contains(addresses, address) {
-			delete(c.probedAt, address)
-		}
-	}
+	unknown := func(address string, _ time.Duration) bool { return !slices.Contains(addresses, address) }
+	maps.DeleteFunc(c.failedAt, unknown)
+	maps.DeleteFunc(c.probedAt, unknown)
 	if c.inUse == "" {
 		c.choose(now, c.best())
 	}
@@ -60,25 +55,20 @@
 
 // best returns the preferred registry host that has not failed, or else the one whose last failure is the longest ago.
 func (c *registryChoice) best() string {
-	return slices.MinFunc(c.addresses, func(a, b string) int { return c.compareFailures(a, b) })
+	return slices.MinFunc(c.addresses, c.compareFailures)
 }
 
 // compareFailures orders registry hosts by their last failures, those without one first.
 func (c *registryChoice) compareFailures(a, b string) int {
-	failure := func(address string) time.Duration {
-		if at, ok := c.failedAt[address]; ok {
-			return at
-		}
-		return math.MinInt64
-	}
-	switch x, y := failure(a), failure(b); {
-	case x < y:
-		return -1
-	case x > y:
-		return 1
-	default:
-		return 0
+	return cmp.Compare(c.lastFailure(a), c.lastFailure(b))
+}
+
+// lastFailure returns the time of the last failure of a registry host, which is before any other if it has answered since.
+func (c *registryChoice) lastFailure(address string) time.Duration {
+	if at, ok := c.failedAt[address]; ok {
+		return at
 	}
+	return math.MinInt64
 }
 
 // answered records that a registry host has answered a call for the view and is up to date.
--- a/pkg/upstream/status_test.go
+++ b/pkg/upstream/status_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -23,8 +24,8 @@
 		began := time.Now()
 		_, err := c.Send(context.Background(), request)
 		var failed *Error
-		Expect(err).To(BeAssignableToTypeOf(failed))
-		Expect(err.(*Error).Stage).To(Equal(InvalidResponse), "%v", err)
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Stage).To(Equal(InvalidResponse), "%v", err)
 		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
 	},
 	Entry("000", "000 None", "Content-Length: 0\r\n\r\n"),
