--- a/pkg/registrar/registryhosts.go
+++ b/pkg/registrar/registryhosts.go
@@ -10,8 +10,8 @@
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
-// absentTimeout is the time without a response to the leader after which views do not list a registry host any more. Shorter absences are left to
-// the entry hosts, which turn away by themselves. From contactMs on after a loss, 3 s, bounds for changes hold again.
+// absentTimeout is the time without a response to the leader after which views do not list a registry host any more. The bounds for changes hold
+// again 3 s after a loss. Shorter absences are left to the entry hosts, which turn away by themselves.
 const absentTimeout = 3 * time.Second
 
 // absences compares the registry hosts that are recorded with the members of the group. The zero value is ready for use by a new leader.
