entry, registrar: registry hosts with much to do get no more by it

An entry host gave up calls whose answers were only late, probed registry hosts again that had just answered, and turned to a distant one whose probe was answered before the near one's call. The leader took registry hosts out of the views that had not responded for 3 s, so that their entry hosts came to the others.

Registry hosts stay in the views until they have been no members for a minute. So that no target is sent to one that is gone, a registry host names another one only if that one has answered it within 6 s (at most one small call each 3 s, only while targets are to be sent on).

--- a/pkg/entry/watch.go
+++ b/pkg/entry/watch.go
@@ -25,7 +25,7 @@
 	// lateWatchTimeout is how long a response is awaited in total. Behind the files on a congested link of 3 Mbit/s, each response may
 	// take longer than watchTimeout, so that without late responses the view would stand still.
 	lateWatchTimeout = 4 * time.Second
-	// maxPendingWatches bounds the registry hosts that are asked for the view at the same time. Beyond it the oldest call is given up.
+	// maxPendingWatches bounds the registry hosts that are asked for the view at the same time.
 	maxPendingWatches = 3
 	// probeTimeout is long enough that a probe without an answer closes a connection that has gone silent.
 	probeTimeout = rpc.DefaultSilenceTimeout
@@ -123,12 +123,6 @@
 	cancel  context.CancelFunc
 }
 
-// probeResult is the result of a probe of a registry host.
-type probeResult struct {
-	address string
-	usable  bool
-}
-
 // registryFollower keeps the view of a host up to date. Only one goroutine uses it.
 type registryFollower struct {
 	host   *Host
@@ -166,7 +160,7 @@
 		f.probe(ctx, address)
 	}
 	address := f.choice.inUse
-	if _, asked := f.pending[address]; !asked {
+	if _, asked := f.pending[address]; !asked && f.makeRoom() {
 		f.start(ctx, address)
 	}
 	timer := time.NewTimer(max(f.pending[address].askedAt, f.choice.chosenAt) + watchTimeout - now)
@@ -179,7 +173,7 @@
 			f.handle(ctx, result)
 		}
 	case result := <-f.probes:
-		f.choice.probed(f.host.now(), result.address, result.usable)
+		f.choice.probed(f.host.now(), result)
 	case <-timer.C:
 		klog.InfoS("registry host slow to answer", "address", address, "viewVersion", f.host.current().version, "pending", len(f.pending))
 		if len(f.pending) >= silentWatches {
@@ -194,9 +188,6 @@
 // start sends a watch call for the changes since the view in force, which reports the key loads of this host.
 func (f *registryFollower) start(ctx context.Context, address string) {
 	h := f.host
-	if len(f.pending) >= maxPendingWatches {
-		f.giveUpOldest()
-	}
 	// Only one response is asked for at once: while a leader is elected, no registry host is up to date, and all entry hosts ask them in turn.
 	hello := &schemav1.ViewHello{
 		Version: h.current().version, Entry: h.announcedSelf(), KeyLoads: h.keyLoads.takeCounts(), AtOnce: f.staleHosts == 1 || f.silent,
@@ -216,16 +207,20 @@
 	}()
 }
 
-// giveUpOldest gives up the watch call that has been pending for the longest time.
-func (f *registryFollower) giveUpOldest() {
-	oldest := ""
+// makeRoom reports whether a further watch call may be started. Beyond maxPendingWatches it gives up one at a registry host that does not answer
+// probes either; the answers of those that do may only be late.
+func (f *registryFollower) makeRoom() bool {
+	if len(f.pending) < maxPendingWatches {
+		return true
+	}
 	for address, call := range f.pending {
-		if oldest == "" || call.askedAt < f.pending[oldest].askedAt {
-			oldest = address
+		if f.choice.unanswered[address] {
+			call.cancel()
+			delete(f.pending, address)
+			return true
 		}
 	}
-	f.pending[oldest].cancel()
-	delete(f.pending, oldest)
+	return false
 }
 
 // probe asks a registry host whether it could be used. The answer is small unless the list of registry hosts has changed.
@@ -237,7 +232,8 @@
 		err := guard.Run("probe", func() error {
 			update, err := h.callRegistry(ctx, address, probeTimeout, hello)
 			// Registry hosts of earlier versions, and those that do not know how old their state is, tell nothing of it.
-			result.usable = err == nil && (update.GetUpToDate() || update.CompleteUntilUs == nil)
+			result.answered = err == nil
+			result.usable = result.answered && (update.GetUpToDate() || update.CompleteUntilUs == nil)
 			return err
 		})
 		klog.InfoS("registry host probed", "address", address, "usable", result.usable, "err", err)
--- a/pkg/registrar/join.go
+++ b/pkg/registrar/join.go
@@ -51,7 +51,7 @@
 	for _, seed := range r.seeds() {
 		ask(seed)
 	}
-	for _, host := range r.state.AllRegistryHosts() {
+	for _, host := range r.state.RegistryHosts() {
 		ask(host.GetPeerAddress())
 	}
 	for ; pending > 0; pending-- {
@@ -79,8 +79,10 @@
 // recordSelf starts to record the addresses of this host in the registry if they are not recorded yet.
 func (r *Registrar) recordSelf() {
 	self := r.self()
-	if isRecorded(r.state.AllRegistryHosts(), self) {
-		return
+	for _, host := range r.state.RegistryHosts() {
+		if proto.Equal(host, self) {
+			return
+		}
 	}
 	if !r.recordingSelf.CompareAndSwap(false, true) {
 		return
@@ -92,16 +94,3 @@
 		}
 	})
 }
-
-// isRecorded reports whether the registry has a host as it describes itself. Whether it is absent is for the leader to say.
-func isRecorded(hosts []*schemav1.RegistryHost, self *schemav1.RegistryHost) bool {
-	for _, host := range hosts {
-		if host.GetName() != self.GetName() {
-			continue
-		}
-		described := proto.CloneOf(host)
-		described.Absent = false
-		return proto.Equal(described, self)
-	}
-	return false
-}
--- a/pkg/registrar/leadership.go
+++ b/pkg/registrar/leadership.go
@@ -29,7 +29,7 @@
 	membershipChanges   sync.WaitGroup
 	suspectAges         suspectAges
 	expectedCold        expectedCold
-	absences            absences
+	departures          departures
 }
 
 // step makes the decisions that are due if this host is the leader. It ends earlier work if this host no longer is the leader or the term
@@ -45,13 +45,13 @@
 	if l.manager == nil {
 		l.term = status.Term
 		l.ctx, l.cancel = context.WithCancel(r.ctx)
-		l.suspectAges, l.expectedCold, l.absences = suspectAges{}, expectedCold{}, absences{}
+		l.suspectAges, l.expectedCold, l.departures = suspectAges{}, expectedCold{}, departures{}
 		l.manager = grants.New(r.state, r, r.options.Granter, func() time.Duration { return time.Since(r.started) })
 		l.manager.Term = status.Term
 		r.quotas.begin(time.Since(r.started), status.Term, r.options.QuotaTolerance)
 	}
 	l.changeMembership(status)
-	r.recordHosts(&l.absences, status)
+	r.removeDeparted(&l.departures, status)
 	if time.Since(l.adoptedAt) >= adoptInterval {
 		l.adoptedAt = time.Now()
 		r.watchers.adopt(r.state.EntryHostNames())
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -114,6 +114,7 @@
 	announcements registry.AnnouncementOrder
 	fullViews     registry.FullViews
 	registrations registrations
+	reachability  reachability
 	pauses        *pauses.Detector
 	orders        orderCommitter
 	forming       forming
@@ -128,8 +129,8 @@
 	failed  chan error
 	// recordingSelf is set while this host records its own addresses in the registry.
 	recordingSelf atomic.Bool
-	// recordingHosts is set while this host records which registry hosts have left or are absent.
-	recordingHosts atomic.Bool
+	// removingDeparted is set while this host removes a registry host that has left.
+	removingDeparted atomic.Bool
 	// endingExpectedCold is set while this host records targets as warm that were expected to be cold.
 	endingExpectedCold atomic.Bool
 	// rejoining is set while this host asks to join the group again.
--- a/pkg/registrar/registryhosts.go
+++ b/pkg/registrar/registryhosts.go
@@ -1,81 +1,91 @@
 package registrar
 
 import (
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"almondrock.example/almondrock/pkg/replication"
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
 )
 
-// absentTimeout is the time without a response to the leader after which views do not list a registry host any more. The bounds for changes hold
-// again 3 s after a loss. Shorter absences are left to the entry hosts, which turn away by themselves.
-const absentTimeout = 3 * time.Second
+// reachabilityInterval is how often a registry host is asked whether it can be reached, while targets are to be sent on to it. One that has not
+// answered for two intervals is named to no target.
+const reachabilityInterval = 3 * time.Second
 
-// absences compares the registry hosts that are recorded with the members of the group. The zero value is ready for use by a new leader.
-type absences struct {
-	// departedSince is the time since which the leader knows that a host is no member, by name.
-	departedSince map[string]time.Duration
+// departures finds the registry hosts that have left the group. The zero value is ready for use by a new leader.
+type departures struct {
+	// since is the time since which the leader knows that a host is no member, by name.
+	since map[string]time.Duration
 }
 
-// nextChange returns the entry of the next registry host that differs from what the leader knows of the members, or nil. A host is absent while
-// it is no member or does not respond, until it has responded to this leader. One that is no member for learnerTimeout, as one that was cut off may
-// be for a while, has left. self is the ID of the leader.
-func (a *absences) nextChange(now time.Duration, hosts []*schemav1.RegistryHost, members []replication.MemberStatus, self uint64) *schemav1.RegistryHost {
-	departed := map[string]time.Duration{}
-	var change *schemav1.RegistryHost
+// next returns the name of a registry host that has been no member for learnerTimeout, or "". One that was cut off may be no member for a while. A
+// host that does not respond stays, however long: it may only have much to do, and without it the others would have more.
+func (d *departures) next(now time.Duration, hosts []*schemav1.RegistryHost, members []replication.MemberStatus) string {
+	since, left := map[string]time.Duration{}, ""
 	for _, host := range hosts {
-		absent, left := host.GetAbsent(), false
-		member := memberAt(members, host.GetPeerAddress())
-		switch {
-		case member == nil:
-			since, known := a.departedSince[host.GetName()]
-			if !known {
-				since = now
-			}
-			departed[host.GetName()] = since
-			absent, left = true, now-since > learnerTimeout
-		case member.ID == self, member.MatchIndex > 0 && member.SinceLastResponse <= responsiveTimeout:
-			absent = false
-		case member.SinceLastResponse > absentTimeout:
-			absent = true
+		if slices.ContainsFunc(members, func(m replication.MemberStatus) bool { return m.Address == host.GetPeerAddress() }) {
+			continue
 		}
-		switch {
-		case change != nil:
-		case left:
-			change = &schemav1.RegistryHost{Name: host.GetName()}
-		case absent != host.GetAbsent():
-			change = proto.CloneOf(host)
-			change.Absent = absent
+		name := host.GetName()
+		known, ok := d.since[name]
+		if !ok {
+			known = now
 		}
-	}
-	a.departedSince = departed
-	return change
-}
-
-// memberAt returns the member with an address that has responded last, or nil. A host that has lost its disk is a new member for a while
-// beside the one that it was.
-func memberAt(members []replication.MemberStatus, address string) *replication.MemberStatus {
-	var latest *replication.MemberStatus
-	for i := range members {
-		if m := &members[i]; m.Address == address && (latest == nil || m.SinceLastResponse < latest.SinceLastResponse) {
-			latest = m
+		since[name] = known
+		if now-known > learnerTimeout {
+			left = name
 		}
 	}
-	return latest
+	d.since = since
+	return left
 }
 
-// recordHosts starts to record which registry hosts have left, are absent or are back. Only the leader calls it.
-func (r *Registrar) recordHosts(absences *absences, status replication.Status) {
-	change := absences.nextChange(time.Since(r.started), r.state.AllRegistryHosts(), status.Members, status.ID)
-	if change == nil || !r.recordingHosts.CompareAndSwap(false, true) {
+// removeDeparted starts to remove a registry host that has left the group. Only the leader calls it.
+func (r *Registrar) removeDeparted(departures *departures, status replication.Status) {
+	left := departures.next(time.Since(r.started), r.state.RegistryHosts(), status.Members)
+	if left == "" || !r.removingDeparted.CompareAndSwap(false, true) {
 		return
 	}
-	r.start("record registry hosts", func() {
-		defer r.recordingHosts.Store(false)
-		_, err := r.proposeWithRetry(r.ctx, &schemav1.RegistryCommand{RegistryHost: change})
-		klog.InfoS("registry host recorded", "name", change.GetName(), "left", change.GetPeerAddress() == "", "absent", change.GetAbsent(), "err", err)
+	r.start("remove registry host", func() {
+		defer r.removingDeparted.Store(false)
+		_, err := r.proposeWithRetry(r.ctx, &schemav1.RegistryCommand{RegistryHost: &schemav1.RegistryHost{Name: left}})
+		klog.InfoS("registry host has left", "name", left, "err", err)
 	})
 }
+
+// reachability remembers which registry hosts answer. The zero value is ready for use.
+type reachability struct {
+	mu                  sync.Mutex
+	askedAt, answeredAt map[string]time.Time
+}
+
+// isReachable reports whether a registry host has answered lately. From time to time it starts to ask again.
+func (r *Registrar) isReachable(address string) bool {
+	peers, now := &r.reachability, time.Now()
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	if peers.askedAt == nil {
+		peers.askedAt, peers.answeredAt = map[string]time.Time{}, map[string]time.Time{}
+	}
+	if now.Sub(peers.askedAt[address]) >= reachabilityInterval {
+		expired := func(_ string, at time.Time) bool { return now.Sub(at) >= 2*reachabilityInterval }
+		maps.DeleteFunc(peers.askedAt, expired)
+		maps.DeleteFunc(peers.answeredAt, expired)
+		peers.askedAt[address] = now
+		r.start("ask registry host", func() {
+			if err := r.call(address, methodWatching, &schemav1.EntryHostNames{}, &schemav1.EntryHostNames{}); err != nil {
+				klog.InfoS("registry host not reachable, named to no target", "address", address, "err", err)
+				return
+			}
+			peers.mu.Lock()
+			defer peers.mu.Unlock()
+			peers.answeredAt[address] = time.Now()
+		})
+	}
+	answeredAt, answered := peers.answeredAt[address]
+	return answered && now.Sub(answeredAt) < 2*reachabilityInterval
+}
--- a/pkg/registrar/service.go
+++ b/pkg/registrar/service.go
@@ -271,7 +271,7 @@
 	watching, complete = map[string]bool{}, true
 	var mu sync.Mutex
 	var calls sync.WaitGroup
-	for _, host := range r.state.AllRegistryHosts() {
+	for _, host := range r.state.RegistryHosts() {
 		if host.GetPeerAddress() == r.options.PeerAddress {
 			continue
 		}
@@ -474,7 +474,7 @@
 }
 
 // nextAnnounceAddress returns the address to which a target should send its next announcement: an entry host of its data centre if the
-// registry hosts have too many targets to hear all of them themselves, or else a registry host there. It returns an empty string if that
+// registry hosts have too many targets to hear all of them themselves, or else a registry host there that can be reached. It returns an empty string if that
 // is this host, if it has not joined the group yet, or if there is no such host.
 func (r *Registrar) nextAnnounceAddress(target *schemav1.Registration) string {
 	if r.currentReplica() == nil {
@@ -489,7 +489,7 @@
 		return ""
 	}
 	for _, host := range r.state.RegistryHosts() {
-		if host.GetDataCentre() == target.GetDataCentre() {
+		if host.GetDataCentre() == target.GetDataCentre() && r.isReachable(host.GetPeerAddress()) {
 			return host.GetAnnounceAddress()
 		}
 	}
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -703,23 +703,11 @@
 	return s.keyTables[service]
 }
 
-// AllRegistryHosts returns the registry hosts in the order of their names, with those that are absent.
-func (s *State) AllRegistryHosts() []*schemav1.RegistryHost {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return sortedByName(s.hosts)
-}
-
-// RegistryHosts returns the registry hosts that are not absent in the order of their names.
+// RegistryHosts returns the registry hosts in the order of their names.
 func (s *State) RegistryHosts() []*schemav1.RegistryHost {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.presentHosts()
-}
-
-// presentHosts returns the registry hosts that are not absent in the order of their names. s.mu must be held.
-func (s *State) presentHosts() []*schemav1.RegistryHost {
-	return slices.DeleteFunc(sortedByName(s.hosts), func(host *schemav1.RegistryHost) bool { return host.GetAbsent() })
+	return sortedByName(s.hosts)
 }
 
 // RegistryHostsChangedSince reports whether the registry hosts have changed after a version, which is 0 for no version.
@@ -752,7 +740,7 @@
 		update.EvacuatedChanged, update.Evacuated = true, s.evacuated()
 	}
 	if full || s.changeVersions.registryHosts > version {
-		update.HostsChanged, update.RegistryHosts = true, s.presentHosts()
+		update.HostsChanged, update.RegistryHosts = true, sortedByName(s.hosts)
 	}
 	if update.Entries = s.changedEntryHosts(version, full); len(update.Entries) > 0 {
 		update.HostsChanged = true
