upstream: a response without a length is complete only after a request that was sent whole

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a connection to one system call only. The request body is written by a goroutine while the response is read; if the write gets the reset, the next read returns 0, an ordinary end, and the end of the connection is the end of a body without a length. The goroutine closes the connection only after that. strace of the spec on, client 39986:

16305 .930987 write(8, "POST /a?b HTTP/1.1\r\nHost"..., 71) = 71 16305 .931264 write(8, "uuuu"..., 8388608) = 3997696, then EAGAIN 16303 .931994 read(8, "HTTP/1.1 200 OK\r\nRequest"..., 4096) = 67, then EAGAIN 16303 .937484 setsockopt(9, SO_LINGER, {l_onoff=1, l_linger=0}), close(9) the target 16303 .937706 write(8, "uuuu"..., 4390912) = -1 ECONNRESET 16310 .937773 read(8, "", 4096) = 0 taken for the end of the body 16310 .937819 close(8)

Change: pkg/upstream/request.go records, under a lock that is held from the start of a write until its result is known, how much of the request is left. At the end of a response without a length the reader ends a write in progress by a deadline in the past and asks whether the whole request was written; if not, the body ends with ErrRequestIncomplete. A response that ends while the last write returns stays complete. The request may have run, so that only an idempotent one whose body is held goes to another target. Other responses are read as before.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -20,7 +20,6 @@
 	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
 
-	"almondrock.example/almondrock/pkg/guard"
 	"almondrock.example/almondrock/pkg/internal/headlimit"
 	"almondrock.example/almondrock/pkg/internal/sockets"
 	"almondrock.example/almondrock/pkg/internal/statuscode"
@@ -194,8 +193,8 @@
 	conn   *conn
 	// stop detaches the connection from the context of Send; it returns false when the context has already reset it.
 	stop func() bool
-	// written is closed once the body has been written; nil when the body was written together with the header.
-	written chan struct{}
+	// request is the writer of the request, which may still be at work.
+	request *requestWriter
 	once    sync.Once
 }
 
@@ -224,7 +223,7 @@
 			return fail(NotSent, err)
 		}
 	}
-	written, n, err := writeRequest(cn, r)
+	request, n, err := writeRequest(cn, r)
 	if err != nil {
 		if n == 0 {
 			return fail(NotSent, err)
@@ -235,7 +234,10 @@
 	if err != nil {
 		return fail(stage, err)
 	}
-	return &Response{Response: response, client: c, conn: cn, stop: stop, written: written}, nil
+	if endsWithConnection(response) && response.Body != http.NoBody {
+		response.Body = &unsizedBody{ReadCloser: response.Body, request: request}
+	}
+	return &Response{Response: response, client: c, conn: cn, stop: stop, request: request}, nil
 }
 
 // acquireConn returns an idle connection of the pool, or dials a new one, within the limits that the request sets.
@@ -322,80 +324,6 @@
 	return nil
 }
 
-// writeRequest writes the request and returns the number of bytes written so far. A long body is written by another goroutine,
-// because the target may respond before it reads the body; written is closed after its last byte and nil for other bodies.
-func writeRequest(cn *conn, r *Request) (written chan struct{}, n int, err error) {
-	var buffer bytes.Buffer
-	buffer.Grow(512 + len(r.Body))
-	buffer.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	for name, values := range r.Header {
-		for _, value := range values {
-			buffer.WriteString(name + ": " + value + "\r\n")
-		}
-	}
-	chunked := r.BodyRest != nil && r.ContentLength < 0
-	switch {
-	case chunked:
-		buffer.WriteString("Transfer-Encoding: chunked\r\n")
-	case r.BodyRest != nil:
-		buffer.WriteString("Content-Length: " + strconv.FormatInt(r.ContentLength, 10) + "\r\n")
-	case len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
-		buffer.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	buffer.WriteString("\r\n")
-	if r.BodyRest == nil && len(r.Body) <= maxInlineBody {
-		buffer.Write(r.Body)
-		n, err = cn.Write(buffer.Bytes())
-		return nil, n, err
-	}
-	if n, err = cn.Write(buffer.Bytes()); err != nil {
-		return nil, n, err
-	}
-	written = make(chan struct{})
-	go func() {
-		if err := guard.Run("request body", func() error { return writeBody(cn, r, chunked) }); err != nil {
-			// Keeps the target from accepting a truncated body as complete.
-			cn.reset()
-			return
-		}
-		close(written)
-	}()
-	return written, n, nil
-}
-
-// writeBody writes the body, in chunks if its length is not known.
-func writeBody(cn *conn, r *Request, chunked bool) error {
-	body := io.Reader(bytes.NewReader(r.Body))
-	if r.BodyRest != nil {
-		body = io.MultiReader(body, r.BodyRest)
-	}
-	if !chunked {
-		n, err := io.Copy(cn.Conn, body)
-		if err == nil && r.BodyRest != nil && n != r.ContentLength {
-			err = io.ErrUnexpectedEOF
-		}
-		return err
-	}
-	buffer := make([]byte, 16<<10)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			chunk := append(strconv.AppendInt(nil, int64(n), 16), "\r\n"...)
-			chunk = append(append(chunk, buffer[:n]...), "\r\n"...)
-			if _, werr := cn.Write(chunk); werr != nil {
-				return werr
-			}
-		}
-		if err == io.EOF {
-			_, werr := io.WriteString(cn.Conn, "0\r\n\r\n")
-			return werr
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // readResponse reads the header of the response. Interim (1xx) responses and complete responses to earlier requests are skipped.
 func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, Stage, error) {
 	cn.head.Begin(maxResponseHeader)
@@ -495,18 +423,10 @@
 
 // reusable reports whether the connection is at a clean message boundary and may carry another request.
 func (r *Response) reusable() bool {
-	if r.Close || r.conn.idleTimeout == 0 || len(r.conn.carriedIDs) >= maxCarriedIDs || r.conn.reader.Buffered() > 0 || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
-		return false
-	}
-	if r.written == nil {
-		return true
-	}
-	select {
-	case <-r.written:
-		return true
-	default:
+	if r.Close || r.conn.idleTimeout == 0 || len(r.conn.carriedIDs) >= maxCarriedIDs || r.conn.reader.Buffered() > 0 || endsWithConnection(r.Response) {
 		return false
 	}
+	return r.request.complete.Load()
 }
 
 // Abort resets the connection, so that the target can stop working on the request.
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -11,6 +11,9 @@
 // ErrNoReusableConnection is the cause of the Error for a request with RequireReused when its pool has no idle connection.
 var ErrNoReusableConnection = merry.Sentinel("no idle connection to reuse")
 
+// ErrRequestIncomplete is the error of a response body without a length whose connection ended before the whole request was sent.
+var ErrRequestIncomplete = merry.Sentinel("the connection ended before the whole request was sent, which leaves the end of the response unknown")
+
 // Stage is how far a failed request got.
 type Stage int
 
