upstream, target: a response with a field whose name is not valid is no response

What callers saw: a target in trouble sent a response whose head had a blank in the name of a field. Both modes, and the same in interim responses and in trailers.

Cause: the parser of net/http accepts blanks in the names of fields (go.dev/issue/34540) and keeps such a name as it is, so that it is not the field that the target meant. Names were not checked afterwards. All other bytes that are not valid in a name, and control bytes in values, were refused before.

--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"almondrock.example/almondrock/pkg/internal/fieldname"
 	"almondrock.example/almondrock/pkg/internal/sockets"
 	"almondrock.example/almondrock/pkg/internal/statuscode"
 )
@@ -198,21 +199,32 @@
 		return nil, merry.Wrap(&SendError{WriteStarted: writeStarted, Cause: err})
 	}
 	exchange := &Exchange{Response: response, conn: conn}
-	if err := statuscode.CheckFinal(response.StatusCode); err != nil {
+	if err := checkResponse(response); err != nil {
 		exchange.Discard()
 		return nil, merry.Wrap(&SendError{WriteStarted: true, Cause: err})
 	}
 	return exchange, nil
 }
 
+// checkResponse returns an error for a message that net/http takes for a final response, but that is none.
+func checkResponse(response *http.Response) error {
+	if err := statuscode.CheckFinal(response.StatusCode); err != nil {
+		return err
+	}
+	return fieldname.CheckResponse(response)
+}
+
 // limitInterim returns a function that takes the interim responses to one request. It returns an error, which ends the request, for one with
-// content and when together they are longer than a header may be.
+// content or a malformed field, and when together they are longer than a header may be.
 func limitInterim() func(code int, header textproto.MIMEHeader) error {
 	remaining := maxResponseHeaderBytes
 	return func(code int, header textproto.MIMEHeader) error {
 		if err := statuscode.CheckInterim(code, http.Header(header), nil); err != nil {
 			return err
 		}
+		if err := fieldname.Check(http.Header(header)); err != nil {
+			return err
+		}
 		remaining -= len("HTTP/1.1 100 \r\n\r\n")
 		for name, values := range header {
 			for _, value := range values {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -20,6 +20,7 @@
 	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
 
+	"almondrock.example/almondrock/pkg/internal/fieldname"
 	"almondrock.example/almondrock/pkg/internal/headlimit"
 	"almondrock.example/almondrock/pkg/internal/sockets"
 	"almondrock.example/almondrock/pkg/internal/statuscode"
@@ -342,6 +343,9 @@
 			}
 			return nil, InvalidResponse, err
 		}
+		if err := fieldname.CheckResponse(response); err != nil {
+			return nil, InvalidResponse, err
+		}
 		if statuscode.IsInterim(response.StatusCode) {
 			if err := statuscode.CheckInterim(response.StatusCode, response.Header, response.TransferEncoding); err != nil {
 				return nil, InvalidResponse, err
