httpserver: no interim response once the final one has begun

A caller that sent `Expect: 100-continue` could get a broken response, or a response without `Connection: close` although it had not been asked for the body, after which its next request would be read as that body.

Cause: the first read of the body writes the interim response into the write buffer of the connection. In the two-tier mode net/http's client reads the body in a goroutine of its own, while the handler writes a response that arrived early or a refusal. Nothing ordered the two writes. Entry hosts read the beginning of each body in the handler and are not affected.

Change: a lock orders the interim response before the beginning of the final one, and there is none after it. A caller that was not asked for the body gets `Connection: close`.

--- a/pkg/httpserver/exchange.go
+++ b/pkg/httpserver/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,7 +44,10 @@
 	// serving is set once the handler has begun to serve the request, although its body has not arrived.
 	serving atomic.Bool
 
-	header      http.Header
+	header http.Header
+	// headMu orders the interim response, which the reader of the body sends, before the final one. Only the handler's goroutine changes
+	// wroteHeader.
+	headMu      sync.Mutex
 	wroteHeader bool
 	status      int
 	// remaining is the number of body bytes that must still be written, or -1 when the length is not known.
@@ -65,7 +69,7 @@
 	}
 	if request.Body != nil && request.Body != http.NoBody && request.ContentLength != 0 {
 		x.body = &requestBody{source: request.Body, finished: make(chan struct{}), exchange: x}
-		x.body.expectContinue = request.ProtoAtLeast(1, 1) && httpguts.HeaderValuesContainsToken(request.Header["Expect"], "100-continue")
+		x.body.expectContinue.Store(request.ProtoAtLeast(1, 1) && httpguts.HeaderValuesContainsToken(request.Header["Expect"], "100-continue"))
 		request.Body = x.body
 	} else {
 		request.Body = http.NoBody
@@ -107,6 +111,7 @@
 	ctx, cancel := context.WithCancel(x.conn.ctx)
 	defer cancel()
 	unusable := x.handle(x.request.WithContext(ctx))
+	x.beginFinal()
 	x.conn.finish(x, unusable)
 }
 
@@ -172,7 +177,8 @@
 	if x.wroteHeader {
 		return
 	}
-	x.wroteHeader, x.status = true, status
+	x.beginFinal()
+	x.status = status
 	if x.earlier != nil {
 		select {
 		case <-x.earlier:
@@ -186,6 +192,13 @@
 	x.err = x.writeHead()
 }
 
+// beginFinal records that the final response begins, or that there is none. No interim response follows.
+func (x *exchange) beginFinal() {
+	x.headMu.Lock()
+	defer x.headMu.Unlock()
+	x.wroteHeader = true
+}
+
 // framingHeaders are the header fields that the server sets itself.
 var framingHeaders = map[string]bool{"Connection": true, "Transfer-Encoding": true}
 
@@ -354,9 +367,10 @@
 
 // requestBody is the body of a request. It sends the interim response that the caller may wait for, and signals its end.
 type requestBody struct {
-	source         io.ReadCloser
-	exchange       *exchange
-	expectContinue bool
+	source   io.ReadCloser
+	exchange *exchange
+	// expectContinue is set while the caller waits for an interim response before it sends the body.
+	expectContinue atomic.Bool
 	finished       chan struct{}
 	ended          atomic.Bool
 	complete       atomic.Bool
@@ -375,16 +389,9 @@
 		}
 		return 0, http.ErrBodyReadAfterClose
 	}
-	if b.expectContinue {
-		b.expectContinue = false
-		if !b.exchange.wroteHeader {
-			w := b.exchange.openWriter()
-			if _, err := w.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-				return 0, err
-			}
-			if err := w.Flush(); err != nil {
-				return 0, err
-			}
+	if b.expectContinue.Load() {
+		if err := b.sendContinue(); err != nil {
+			return 0, err
 		}
 	}
 	n, err := b.readInTime(p)
@@ -394,6 +401,22 @@
 	return n, err
 }
 
+// sendContinue sends the interim response for which the caller waits, unless the final response has begun. The handler may respond while
+// another goroutine reads the body.
+func (b *requestBody) sendContinue() error {
+	x := b.exchange
+	x.headMu.Lock()
+	defer x.headMu.Unlock()
+	if x.wroteHeader || !b.expectContinue.Swap(false) {
+		return nil
+	}
+	w := x.openWriter()
+	if _, err := w.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // readInTime reads a part of the body. The caller may let a read wait for BodyTimeout, and all reads together for BodyTimeout and the time
 // that the received part takes at minBodyRate. The time in which the handler does not read does not count.
 func (b *requestBody) readInTime(p []byte) (int, error) {
@@ -447,7 +470,7 @@
 		return !b.complete.Load()
 	}
 	length := b.exchange.request.ContentLength
-	return b.expectContinue || length < 0 || length > maxDiscardedBody
+	return b.expectContinue.Load() || length < 0 || length > maxDiscardedBody
 }
 
 // discard reads the rest of a short body, so that the next request can be read.
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -331,6 +331,41 @@
 		Expect(err).To(MatchError(syscall.ECONNRESET))
 	})
 
+	// Guards against an interim response within or behind the final one, when a body is read while the handler responds, as by a client that sends
+	// it on and gets an early response.
+	It("sends no interim response once the final one has begun, while another goroutine reads the body", func() {
+		_, address := startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var reading sync.WaitGroup
+			defer reading.Wait()
+			reading.Go(func() { _, _ = r.Body.Read(make([]byte, 10)) })
+			w.Header().Set("Content-Length", "2")
+			_, _ = io.WriteString(w, "ok")
+			w.(http.Flusher).Flush()
+		}), nil)
+		for range 500 {
+			c := connect(address)
+			c.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+			status, body, closes := c.receive()
+			asked := status == http.StatusContinue
+			if asked {
+				status, body, closes = c.receive()
+			}
+			c.send("body")
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(body).To(Equal("ok"))
+			Expect(closes).To(Equal(!asked), "a caller that was not asked for the body may send another request in its place")
+			if asked {
+				c.send(get("/"))
+				status, body, _ = c.receive()
+				Expect(status).To(Equal(http.StatusOK))
+				Expect(body).To(Equal("ok"))
+			} else {
+				c.expectEnd()
+			}
+			c.Close()
+		}
+	})
+
 	It("frames bodies of HEAD requests, empty and chunked responses, and of HTTP/1.0", func() {
 		_, address := startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch r.URL.Path {
