proxy: a response without a length from another host is no response

If the program at the address of a host answers without a length, sends a part and resets the connection while the request is written, the caller gets the part as the whole.

Cause: net/http's client reads the response while another goroutine writes the request, and the kernel reports the reset only once. Responses of targets without a length were refused in this mode, those of hosts were not. Hosts always state a length or use chunks.

--- a/pkg/proxy/attached.go
+++ b/pkg/proxy/attached.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/internal/framing"
 	"almondrock.example/almondrock/pkg/internal/notice"
 	"almondrock.example/almondrock/pkg/lease"
 	"almondrock.example/almondrock/pkg/target"
@@ -286,7 +287,7 @@
 		reply.Discard()
 		return s.targetRefusal(response.StatusCode)
 	}
-	if isCloseDelimited(response, s.r.Method) {
+	if framing.EndsWithConnection(response) {
 		reply.Discard()
 		return s.badResponseRefusal("the target's answer has no length")
 	}
@@ -303,12 +304,3 @@
 	}
 	return overloadedRefusal("the target refused the request before running it")
 }
-
-// isCloseDelimited reports whether the end of the response body is marked only by the close of the connection. A body that
-// is cut off then looks complete, so such a response must not be delivered.
-func isCloseDelimited(response *http.Response, method string) bool {
-	if method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified {
-		return false
-	}
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"almondrock.example/almondrock/pkg/apierr"
+	"almondrock.example/almondrock/pkg/internal/framing"
 	"almondrock.example/almondrock/pkg/target"
 )
 
@@ -160,6 +161,12 @@
 		x.peerLost = true
 		return x.lostRefusal("another host answered with another request's id")
 	}
+	if framing.EndsWithConnection(response) {
+		// Hosts state a length or use chunks, so this is a part of a response or comes from another program.
+		reply.Discard()
+		x.peerLost = true
+		return x.lostRefusal("the answer of another host has no length")
+	}
 	if response.Header.Get(headerRefusal) == "" {
 		return x.deliver(&upstreamResponse{exchange: reply, header: response.Header, fromPeer: true})
 	}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"almondrock.example/almondrock/pkg/internal/fieldname"
+	"almondrock.example/almondrock/pkg/internal/framing"
 	"almondrock.example/almondrock/pkg/internal/headlimit"
 	"almondrock.example/almondrock/pkg/internal/sockets"
 	"almondrock.example/almondrock/pkg/internal/statuscode"
@@ -235,7 +236,7 @@
 	if err != nil {
 		return fail(stage, err)
 	}
-	if endsWithConnection(response) && response.Body != http.NoBody {
+	if framing.EndsWithConnection(response) {
 		response.Body = &unsizedBody{ReadCloser: response.Body, request: request}
 	}
 	return &Response{Response: response, client: c, conn: cn, stop: stop, request: request}, nil
@@ -427,7 +428,7 @@
 
 // reusable reports whether the connection is at a clean message boundary and may carry another request.
 func (r *Response) reusable() bool {
-	if r.Close || r.conn.idleTimeout == 0 || len(r.conn.carriedIDs) >= maxCarriedIDs || r.conn.reader.Buffered() > 0 || endsWithConnection(r.Response) {
+	if r.Close || r.conn.idleTimeout == 0 || len(r.conn.carriedIDs) >= maxCarriedIDs || r.conn.reader.Buffered() > 0 || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
 		return false
 	}
 	return r.request.complete.Load()
--- a/pkg/upstream/response.go
+++ b/pkg/upstream/response.go
@@ -3,16 +3,10 @@
 import (
 	"errors"
 	"io"
-	"net/http"
 
 	"github.com/ansel1/merry/v2"
 )
 
-// endsWithConnection reports whether the end of the connection is the only mark of the end of the response.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // unsizedBody is the body of a response without a length. It is complete if the connection ends in order after the whole request was sent.
 // The operating system reports an error of a connection, such as a reset, only once. If a write gets it, reads see an ordinary end; such a
 // write belongs to a request that was not sent whole. Without a write in progress, the error reaches the reader.
