--- a/pkg/upstream/names_test.go
+++ b/pkg/upstream/names_test.go
@@ -86,7 +86,7 @@
 	Expect(err).To(HaveField("Stage", InvalidResponse))
 })
 
-// Names and values as targets may write them are none of this function's business.
+// Guards against a check that refuses names or values which HTTP allows.
 var _ = DescribeTable("Response with unusual but valid fields is taken",
 	func(response string) {
 		body, err := sendAndRead(patientClient(), newUpload(serveOnce(response), held, 10))
--- a/pkg/upstream/response.go
+++ b/pkg/upstream/response.go
@@ -8,8 +8,8 @@
 )
 
 // unsizedBody is the body of a response without a length. It is complete if the connection ends in order after the whole request was sent.
-// The operating system reports an error of a connection, such as a reset, only once. If a write gets it, reads see an ordinary end; such a
-// write belongs to a request that was not sent whole. Without a write in progress, the error reaches the reader.
+// The operating system reports an error of a connection, such as a reset, to one call only. If that is a write of the request, reads see an
+// orderly end, but the request was not sent whole. Otherwise the read gets the error.
 type unsizedBody struct {
 	io.ReadCloser
 	request *requestWriter
