--- a/pkg/cli/ctl/ctl_test.go
+++ b/pkg/cli/ctl/ctl_test.go
@@ -354,7 +354,7 @@
 // takes it for complete when the write of the request meets the reset of the connection.
 var _ = It("takes no part of a response without a length for an answer", func() {
 	parts := map[string]string{"/v1/submit": `{"id":"s","verdict":"VERDICT_ACCEPTED"`, "/v1/plan": `{"moves":[`, "/v1/configuration": `{"revision":"7"`, "/v1/status": `{"leader":"h1"`}
-	host, err := standin.StartRaw("", func(c *net.TCPConn, r *http.Request) {
+	host, err := standin.StartRaw(func(c *net.TCPConn, r *http.Request) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+parts[r.URL.Path])
 		time.Sleep(time.Millisecond)
 		standin.Reset(c)
--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -18,33 +17,15 @@
 	. "github.com/onsi/gomega"
 
 	schemav1 "almondrock.example/almondrock/pkg/schema/v1"
+	"almondrock.example/almondrock/pkg/standin"
 )
 
 // serveRaw starts a target that responds to each request with respond, and returns its address.
 func serveRaw(respond func(c net.Conn, id string)) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := standin.StartRaw(func(c *net.TCPConn, r *http.Request) { respond(c, r.Header.Get("Id")) })
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				reader := bufio.NewReader(c)
-				for {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					respond(c, r.Header.Get("Id"))
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	DeferCleanup(server.Close)
+	return server.Address()
 }
 
 // writeForever writes text until the connection is closed.
--- a/pkg/entry/reset_test.go
+++ b/pkg/entry/reset_test.go
@@ -52,7 +52,7 @@
 		h := startPatientHost()
 		h.pacer.maxBuffered = buffered
 		var runs atomic.Int64
-		server, err := standin.StartRaw("", func(c *net.TCPConn, _ *http.Request) {
+		server, err := standin.StartRaw(func(c *net.TCPConn, _ *http.Request) {
 			runs.Add(1)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\n\r\n"+strings.Repeat("p", 10<<10))
 			time.Sleep(2 * time.Millisecond)
@@ -85,14 +85,14 @@
 
 var _ = It("An upload that is held goes to another target after a response that broke off, and its response is whole", func() {
 	h := startPatientHost()
-	broken, err := standin.StartRaw("", func(c *net.TCPConn, _ *http.Request) {
+	broken, err := standin.StartRaw(func(c *net.TCPConn, _ *http.Request) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\n\r\npart")
 		standin.Reset(c)
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(broken.Close)
 	whole := strings.Repeat("w", 100<<10)
-	sound, err := standin.StartRaw("", func(c *net.TCPConn, r *http.Request) {
+	sound, err := standin.StartRaw(func(c *net.TCPConn, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\n\r\n"+whole)
 		c.Close()
--- a/pkg/proxy/reset_test.go
+++ b/pkg/proxy/reset_test.go
@@ -32,7 +32,7 @@
 		var h *host
 		if fromHost {
 			h = newDeployment().addHost("h0", "seoul-gangnam")
-			server, err := standin.StartRaw("", respond)
+			server, err := standin.StartRaw(respond)
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(server.Close)
 			h.deployment.hosts["h1"] = &host{name: "h1", data: server.Address()}
--- a/pkg/standin/raw.go
+++ b/pkg/standin/raw.go
@@ -13,15 +13,12 @@
 // decides how the connection ends.
 type RawServer struct{ listener net.Listener }
 
-// StartRaw listens on address, or on a free port of loopback when it is empty, and calls respond for each request. The body has not been read
-// then. A connection that respond leaves open takes further requests. It fails with ErrListen.
-func StartRaw(address string, respond func(c *net.TCPConn, r *http.Request)) (*RawServer, error) {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	listener, err := net.Listen("tcp", address)
+// StartRaw listens on a free port of loopback and calls respond for each request, whose body has not been read then. A connection that respond
+// leaves open takes further requests. It fails with ErrListen.
+func StartRaw(respond func(c *net.TCPConn, r *http.Request)) (*RawServer, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessagef("address %s", address))
+		return nil, merry.Wrap(ErrListen, merry.WithCause(err))
 	}
 	s := &RawServer{listener}
 	go func() {
--- a/pkg/target/names_test.go
+++ b/pkg/target/names_test.go
@@ -16,7 +16,7 @@
 
 // receive sends a request to a target that responds with text and closes the connection, and reads the response to its end.
 func receive(text string) (body string, trailer http.Header, err error) {
-	server, err := standin.StartRaw("", func(c *net.TCPConn, r *http.Request) {
+	server, err := standin.StartRaw(func(c *net.TCPConn, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(c, text)
 		c.Close()
--- a/pkg/upstream/bench_test.go
+++ b/pkg/upstream/bench_test.go
@@ -28,7 +28,7 @@
 		{"upload of 64 KiB", fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body), 64 << 10},
 	} {
 		b.Run(c.name, func(b *testing.B) {
-			server, err := standin.StartRaw("", func(conn *net.TCPConn, r *http.Request) {
+			server, err := standin.StartRaw(func(conn *net.TCPConn, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = io.WriteString(conn, c.response)
 			})
--- a/pkg/upstream/names_test.go
+++ b/pkg/upstream/names_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// invalidFields are field lines whose names are no names in HTTP.
+// invalidFields are field lines with names or values that HTTP does not allow.
 var invalidFields = []TableEntry{
 	Entry("a blank in the name", "X Y: v"),
 	Entry("a blank before the colon", "X : v"),
--- a/pkg/upstream/reset_test.go
+++ b/pkg/upstream/reset_test.go
@@ -58,7 +58,7 @@
 
 // serveTrouble starts a target that calls respond for each request and returns its address.
 func serveTrouble(respond func(c *net.TCPConn, r *http.Request)) string {
-	server, err := standin.StartRaw("", respond)
+	server, err := standin.StartRaw(respond)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(server.Close)
 	return server.Address()
