--- a/pkg/entry/reset_test.go
+++ b/pkg/entry/reset_test.go
@@ -107,3 +107,30 @@
 		Expect(body == whole).To(BeTrue(), "%d bytes", len(body))
 	}
 })
+
+var _ = It("A part of a response from the second target of a hedged request is not delivered", func() {
+	var arrivals atomic.Int64
+	broke := make(chan struct{})
+	whole := strings.Repeat("w", 100<<10)
+	server, err := standin.StartRaw(func(c *net.TCPConn, r *http.Request) {
+		if arrivals.Add(1)%2 == 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\n\r\npart")
+			standin.Reset(c)
+			broke <- struct{}{}
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-broke
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\n\r\n"+whole)
+		c.Close()
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	h := startPatientHost()
+	applyRestarted(h, 1, []string{server.Address(), server.Address()})
+	status, body, err, _ := uploadBody(h, "/safe/", "HTTP/1.1", 200<<10, false)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(status).To(Equal(http.StatusOK))
+	Expect(body == whole).To(BeTrue(), "%d bytes", len(body))
+	Expect(arrivals.Load()).To(Equal(int64(2)), "the request was hedged")
+})
--- a/pkg/proxy/reset_test.go
+++ b/pkg/proxy/reset_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -85,3 +86,20 @@
 	Entry(nil, "GET", "204 No Content", http.StatusNoContent),
 	Entry(nil, "GET", "304 Not Modified", http.StatusNotModified),
 )
+
+var _ = It("I6: a response that is cut off is not completed by one without a length", func() {
+	var calls atomic.Int64
+	h := hostsWithRawTarget(func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		id := target.HeaderRequestID + ": " + r.Header.Get(target.HeaderRequestID)
+		if calls.Add(1) == 1 {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nEtag: \"a\"\r\nContent-Length: 10\r\n\r\n012", id)
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 206 Partial Content\r\n%s\r\nEtag: \"a\"\r\nContent-Range: bytes 3-9/10\r\n\r\n3456789", id)
+	})
+	Expect(sendRequest("GET", h.deployment.hosts["h1"].ingressAddress, "/desk/a", "").err).To(HaveOccurred())
+	Expect(calls.Load()).To(BeEquivalentTo(2))
+})
